--- /dev/null
+++ b/packages/cli/src/persimmonreach/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators command persimmonreach."""
--- /dev/null
+++ b/packages/configuration/src/persimmonreach/configuration/__init__.py
@@ -0,0 +1,9 @@
+"""Declarations, publishing, store client and configuration in force."""
+
+from persimmonreach.configuration._model import (
+    Configuration,
+    ConfigurationChanged,
+    ServiceConfig,
+)
+
+__all__ = ('Configuration', 'ConfigurationChanged', 'ServiceConfig')
--- /dev/null
+++ b/packages/control/src/persimmonreach/control/__init__.py
@@ -0,0 +1,1 @@
+"""gRPC service for operators."""
--- /dev/null
+++ b/packages/core/src/persimmonreach/core/__init__.py
@@ -0,0 +1,69 @@
+"""Value types, state machines, hashing and findings shared by all slices."""
+
+from persimmonreach.core._clock import Clock, ManualClock, MonotonicClock
+from persimmonreach.core._findings import (
+    Finding,
+    FindingError,
+    FindingsError,
+    raise_findings,
+)
+from persimmonreach.core._hashing import (
+    BUCKETS_PER_SERVICE,
+    bucket_of,
+    rank_members,
+    rendezvous_score,
+)
+from persimmonreach.core._identity import (
+    AgentId,
+    BucketId,
+    Endpoint,
+    EntryId,
+    FlowKey,
+    Incarnation,
+    ServiceId,
+    Zone,
+)
+from persimmonreach.core._machine import (
+    Action,
+    Count,
+    Deliver,
+    Event,
+    Received,
+    Reply,
+    Send,
+    StateChange,
+    StateMachine,
+    Tick,
+)
+
+__all__ = (
+    'BUCKETS_PER_SERVICE',
+    'Action',
+    'AgentId',
+    'BucketId',
+    'Clock',
+    'Count',
+    'Deliver',
+    'Endpoint',
+    'EntryId',
+    'Event',
+    'Finding',
+    'FindingError',
+    'FindingsError',
+    'FlowKey',
+    'Incarnation',
+    'ManualClock',
+    'MonotonicClock',
+    'Received',
+    'Reply',
+    'Send',
+    'ServiceId',
+    'StateChange',
+    'StateMachine',
+    'Tick',
+    'Zone',
+    'bucket_of',
+    'raise_findings',
+    'rank_members',
+    'rendezvous_score',
+)
--- /dev/null
+++ b/packages/core/src/persimmonreach/core/_identity.py
@@ -0,0 +1,30 @@
+"""Identifiers of instances, services, availability zones and flows."""
+
+from typing import NamedTuple, NewType
+
+AgentId = NewType('AgentId', str)
+EntryId = NewType('EntryId', str)
+ServiceId = NewType('ServiceId', int)
+BucketId = NewType('BucketId', int)
+Incarnation = NewType('Incarnation', int)
+Zone = NewType('Zone', str)
+
+# Packed flow tuple: protocol, source address and port, destination address
+# and port; 13 bytes for IPv4, 37 bytes for IPv6.
+FlowKey = NewType('FlowKey', bytes)
+
+
+class Endpoint(NamedTuple):
+    """UDP or TCP address of a process.
+
+    Attributes
+    ----------
+    host
+        IP number, never a name: instances run without a resolver.
+    port
+        Port number.
+
+    """
+
+    host: str
+    port: int
--- /dev/null
+++ b/packages/core/src/persimmonreach/core/_machine.py
@@ -0,0 +1,87 @@
+"""Base class of all decisions, and the actions that every slice uses."""
+
+from abc import ABC, abstractmethod
+from typing import Any, NamedTuple, TypeAlias
+
+from persimmonreach.core._identity import Endpoint
+
+# Events and actions are NamedTuples; the concrete types belong to the slices.
+Event: TypeAlias = Any
+Action: TypeAlias = Any
+
+
+class Send(NamedTuple):
+    """Send a wire message to another process of the system."""
+
+    to: Endpoint
+    message: Any
+
+
+class Deliver(NamedTuple):
+    """Hand an IP packet to the local backend server."""
+
+    packet: bytes
+
+
+class Reply(NamedTuple):
+    """Hand an IP packet to the fabric, toward a caller."""
+
+    packet: bytes
+
+
+class Count(NamedTuple):
+    """Add ``amount`` to the counter ``name``."""
+
+    name: str
+    amount: int = 1
+
+
+class StateChange(NamedTuple):
+    """Log one line for a change of state.
+
+    Attributes
+    ----------
+    event
+        Fixed event name, in snake case.
+    subject
+        What changed, for example an agent id or ``service/bucket``.
+    detail
+        New state or reason.
+
+    """
+
+    event: str
+    subject: str
+    detail: str = ''
+
+
+class Received(NamedTuple):
+    """A wire message that arrived from another process of the system."""
+
+    sender: Endpoint
+    message: Any
+
+
+class Tick(NamedTuple):
+    """Periodic event that lets a machine act on elapsed time."""
+
+
+class StateMachine(ABC):
+    """A decision: turns an event and the time into actions.
+
+    Implementations perform no input or output, read no clock and start no
+    thread, so that the same code runs in a daemon and in the fault matrix.
+    """
+
+    @abstractmethod
+    def handle(self, event: Event, now: float) -> tuple[Action, ...]:
+        """Return the actions that ``event`` causes.
+
+        Parameters
+        ----------
+        event
+            One of the event types that the implementation lists.
+        now
+            Monotonic time in seconds.
+
+        """
--- /dev/null
+++ b/packages/daemon/src/persimmonreach/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The long-running process persimmonreachd."""
--- /dev/null
+++ b/packages/flows/src/persimmonreach/flows/__init__.py
@@ -0,0 +1,1 @@
+"""Flows of one backend server and probing of silent flows."""
--- /dev/null
+++ b/packages/observability/src/persimmonreach/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Counters, health endpoints and structured logs."""
--- /dev/null
+++ b/packages/packets/src/persimmonreach/packets/__init__.py
@@ -0,0 +1,65 @@
+"""IPv4 and TCP header codec, frames, and packets between own processes."""
+
+from persimmonreach.packets._builder import (
+    FlowEnds,
+    Segment,
+    build_inbound,
+    build_outbound,
+    build_reset,
+    flow_ends,
+    flow_key,
+    previous_sequence,
+)
+from persimmonreach.packets._frames import (
+    FrameCodec,
+    FrameError,
+    MsgpackFrameCodec,
+)
+from persimmonreach.packets._header import (
+    ACK,
+    FIN,
+    PSH,
+    RST,
+    SYN,
+    HeaderCodec,
+    Ipv4TcpCodec,
+    PacketError,
+    PacketHeader,
+)
+from persimmonreach.packets.messages import (
+    AnswerFrame,
+    CancelFrame,
+    ForwardedPacket,
+    Outcome,
+    RefusalFrame,
+    RequestFrame,
+)
+
+__all__ = (
+    'ACK',
+    'FIN',
+    'PSH',
+    'RST',
+    'SYN',
+    'AnswerFrame',
+    'CancelFrame',
+    'FlowEnds',
+    'ForwardedPacket',
+    'FrameCodec',
+    'FrameError',
+    'HeaderCodec',
+    'Ipv4TcpCodec',
+    'MsgpackFrameCodec',
+    'Outcome',
+    'PacketError',
+    'PacketHeader',
+    'RefusalFrame',
+    'RequestFrame',
+    'Segment',
+    'build_inbound',
+    'build_outbound',
+    'build_reset',
+    'flow_ends',
+    'flow_key',
+    'previous_sequence',
+)
--- /dev/null
+++ b/packages/packets/src/persimmonreach/packets/messages.py
@@ -0,0 +1,95 @@
+"""Packets between own processes, and frames inside packets."""
+
+from enum import StrEnum
+from types import MappingProxyType
+from typing import Final, NamedTuple
+
+from persimmonreach.core import ServiceId
+
+
+class ForwardedPacket(NamedTuple):
+    """An IP packet on its way from an entry instance to its agent.
+
+    Attributes
+    ----------
+    service
+        Service that the sender found for the destination address.
+    hops
+        Times the packet was forwarded between agents.
+    packet
+        IP packet as it came from the fabric.
+
+    """
+
+    service: ServiceId
+    hops: int
+    packet: bytes
+
+
+class Outcome(StrEnum):
+    """What is known of a request that got no answer."""
+
+    NOT_RUN = 'not_run'
+    UNKNOWN = 'unknown'
+
+
+class RequestFrame(NamedTuple):
+    """A request inside a flow.
+
+    Attributes
+    ----------
+    request_id
+        16 bytes chosen by the caller, unique within the flow.
+    attempt
+        Number of the attempt; 0 from the caller, from 1 toward a backend
+        server.
+    idempotent
+        Whether running it twice does no harm.
+    deadline_ms
+        Time left for an answer, in milliseconds.
+    body
+        Content for the backend server.
+
+    """
+
+    request_id: bytes
+    attempt: int
+    idempotent: bool
+    deadline_ms: int
+    body: bytes
+
+
+class CancelFrame(NamedTuple):
+    """The sender no longer needs an answer."""
+
+    request_id: bytes
+    attempt: int
+
+
+class AnswerFrame(NamedTuple):
+    """One part of an answer; the answer is whole with all ``parts``."""
+
+    request_id: bytes
+    attempt: int
+    part: int
+    parts: int
+    body: bytes
+
+
+class RefusalFrame(NamedTuple):
+    """The request gets no answer.
+
+    From a backend server ``NOT_RUN`` means that it shed the attempt before
+    running it.
+    """
+
+    request_id: bytes
+    attempt: int
+    outcome: Outcome
+    reason: str
+
+
+MESSAGE_TYPES: Final = MappingProxyType({1: ForwardedPacket})
+FRAME_TYPES: Final = MappingProxyType(
+    {1: RequestFrame, 2: CancelFrame, 3: AnswerFrame, 4: RefusalFrame},
+)
--- /dev/null
+++ b/packages/packets/tests/test_packets.py
@@ -0,0 +1,73 @@
+"""Guards against packets attributed to a wrong flow and against crashes on bad input."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from persimmonreach.core import Endpoint
+from persimmonreach.packets import (
+    ACK,
+    PSH,
+    SYN,
+    FlowEnds,
+    FrameError,
+    Ipv4TcpCodec,
+    MsgpackFrameCodec,
+    PacketError,
+    RequestFrame,
+    Segment,
+    build_inbound,
+    build_outbound,
+    build_reset,
+    flow_ends,
+    flow_key,
+)
+
+ENDS = FlowEnds(Endpoint('10.0.0.9', 40000), Endpoint('10.9.0.1', 443))
+
+
+def test_both_directions_give_the_same_flow_key() -> None:
+    key = flow_key(ENDS)
+    segment = Segment(PSH | ACK, 7, 9, b'hello')
+    codec = Ipv4TcpCodec()
+    inbound = codec.read_inbound(build_inbound(key, segment))
+    outbound = codec.read_outbound(build_outbound(key, segment))
+    assert inbound.key == outbound.key == key
+    assert flow_ends(key) == ENDS
+    assert inbound.next_sequence == 12
+    assert inbound.payload_size == 5
+
+
+def test_reset_is_acceptable_to_the_callers_stack() -> None:
+    codec = Ipv4TcpCodec()
+    packet = build_inbound(flow_key(ENDS), Segment(PSH | ACK, 7, 900, b'x'))
+    reset = codec.read_outbound(build_reset(codec.read_inbound(packet)))
+    assert reset.sequence == 900
+    first = build_inbound(flow_key(ENDS), Segment(SYN, 41))
+    reset = codec.read_outbound(build_reset(codec.read_inbound(first)))
+    assert reset.acknowledgement == 42
+
+
+@settings(derandomize=True)
+@given(st.binary(max_size=80))
+def test_malformed_packets_and_frames_raise_only_their_own_errors(raw: bytes) -> None:
+    whole = build_inbound(flow_key(ENDS), Segment(PSH | ACK, payload=b'abc'))
+    for packet in (raw, whole[: len(raw)], b''.join((raw, whole))):
+        try:
+            Ipv4TcpCodec().read_inbound(packet)
+        except PacketError:
+            continue
+    for prefix in (b'', b'\xf7PR1', b'\xf7PR1\x01'):
+        try:
+            MsgpackFrameCodec().decode(b''.join((prefix, raw)))
+        except FrameError:
+            continue
+
+
+def test_frames_survive_encoding_and_opaque_payloads_pass_through() -> None:
+    codec = MsgpackFrameCodec()
+    frame = RequestFrame(b'0' * 16, 0, False, 500, b'order')
+    assert codec.decode(codec.encode(frame)) == frame
+    assert codec.decode(b'plain') is None
+    with pytest.raises(FrameError):
+        codec.decode(b'\xf7PR1\x09\x90')
--- /dev/null
+++ b/packages/proof/src/persimmonreach/proof/__init__.py
@@ -0,0 +1,1 @@
+"""Fault matrix and benchmarks."""
--- /dev/null
+++ b/packages/routing/src/persimmonreach/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing table of an entry instance."""
--- /dev/null
+++ b/packages/runtime/src/persimmonreach/runtime/__init__.py
@@ -0,0 +1,20 @@
+"""Tasks, wire codec and UDP transport shared by all slices."""
+
+from persimmonreach.runtime._codec import (
+    EnvelopeError,
+    SharedKey,
+    WireCodec,
+    WireError,
+)
+from persimmonreach.runtime._task import Task
+from persimmonreach.runtime._transport import DatagramSocket, UdpSocket
+
+__all__ = (
+    'DatagramSocket',
+    'EnvelopeError',
+    'SharedKey',
+    'Task',
+    'UdpSocket',
+    'WireCodec',
+    'WireError',
+)
--- /dev/null
+++ b/packages/standins/src/persimmonreach/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the platform and the demo."""
