Add the list of entry instances to the configuration model

Cause: membership and configuration both need the type of a registered entry instance. Change: EntryInstance and EntriesChanged in the lower layer. Conclusion: both slices can be built on it.

--- a/packages/configuration/src/persimmonreach/configuration/__init__.py
+++ b/packages/configuration/src/persimmonreach/configuration/__init__.py
@@ -3,7 +3,15 @@
 from persimmonreach.configuration._model import (
     Configuration,
     ConfigurationChanged,
+    EntriesChanged,
+    EntryInstance,
     ServiceConfig,
 )
 
-__all__ = ('Configuration', 'ConfigurationChanged', 'ServiceConfig')
+__all__ = (
+    'Configuration',
+    'ConfigurationChanged',
+    'EntriesChanged',
+    'EntryInstance',
+    'ServiceConfig',
+)
--- a/packages/configuration/src/persimmonreach/configuration/_model.py
+++ b/packages/configuration/src/persimmonreach/configuration/_model.py
@@ -2,7 +2,7 @@
 
 from typing import Final, NamedTuple
 
-from persimmonreach.core import Endpoint, ServiceId, Zone
+from persimmonreach.core import Endpoint, EntryId, ServiceId, Zone
 
 DEFAULT_CONNECTIONS: Final = 2000
 DEFAULT_LARGEST_DEADLINE_MS: Final = 5000
@@ -76,3 +76,38 @@
     """A node has put a newer configuration or zone override in force."""
 
     configuration: Configuration
+
+
+class EntryInstance(NamedTuple):
+    """One registered entry instance.
+
+    Attributes
+    ----------
+    entry
+        Id of the entry instance.
+    zone
+        Availability zone of the entry instance.
+    endpoint
+        Address for messages between own processes.
+
+    """
+
+    entry: EntryId
+    zone: Zone
+    endpoint: Endpoint
+
+
+class EntriesChanged(NamedTuple):
+    """The list of entry instances has changed.
+
+    Attributes
+    ----------
+    version
+        Store revision of the list; only rises.
+    entries
+        Registered entry instances, ordered by id.
+
+    """
+
+    version: int
+    entries: tuple[EntryInstance, ...]
