--- /dev/null
+++ b/packages/standins/src/persimmonreach/standins/backend_server.py
@@ -0,0 +1,89 @@
+"""Stand-in of a backend server.
+
+Run as ``python -m persimmonreach.standins.backend_server SETTINGS.json``.
+"""
+
+import sys
+from typing import Any
+
+from persimmonreach.core import Clock, Endpoint, MonotonicClock
+from persimmonreach.standins._backend_task import BackendSettings, BackendTask
+from persimmonreach.standins._capacity import ServerState
+from persimmonreach.standins._process import (
+    JsonServer,
+    announce,
+    load_settings,
+    wait_for_termination,
+)
+
+
+class BackendControl:
+    """HTTP interface of a backend server.
+
+    Parameters
+    ----------
+    task
+        Task that is shown and controlled.
+    clock
+        Clock of the task.
+
+    """
+
+    def __init__(self, task: BackendTask, clock: Clock) -> None:
+        self._task = task
+        self._clock = clock
+
+    def server(self, bind: Endpoint) -> JsonServer:
+        """Return the HTTP server."""
+        return JsonServer(
+            bind,
+            {
+                'GET /health': self._health,
+                'GET /load': self._load,
+                'GET /connections': self._connections,
+                'GET /journal': self._journal,
+                'POST /state': self._set_state,
+                'POST /load': self._set_load,
+            },
+        )
+
+    def _health(self, _: Any) -> Any:
+        return {'state': self._task.capacity.state(self._clock.now())}
+
+    def _load(self, _: Any) -> Any:
+        return {'load': self._task.capacity.load(self._clock.now())}
+
+    def _connections(self, _: Any) -> Any:
+        return {'connections': self._task.connections}
+
+    def _journal(self, _: Any) -> Any:
+        return self._task.journal
+
+    def _set_state(self, body: Any) -> Any:
+        self._task.post(ServerState(body['state']))
+        return {}
+
+    def _set_load(self, body: Any) -> Any:
+        capacity = self._task.capacity
+        capacity.settings = capacity.settings._replace(
+            load_lag_s=body['lag_s'],
+            load_bias=body['bias'],
+        )
+        return {}
+
+
+def main(path: str) -> None:
+    """Run the backend server until SIGTERM."""
+    settings = load_settings(BackendSettings, path)
+    clock = MonotonicClock()
+    with BackendTask(settings, clock) as task:
+        control = BackendControl(task, clock)
+        server = control.server(Endpoint(settings.host, settings.http_port))
+        server.start()
+        announce(port=task.port, http=server.port)
+        wait_for_termination()
+        server.stop()
+
+
+if __name__ == '__main__':
+    main(sys.argv[1])
--- /dev/null
+++ b/packages/standins/src/persimmonreach/standins/callers.py
@@ -0,0 +1,84 @@
+"""Stand-in of the callers.
+
+Run as ``python -m persimmonreach.standins.callers SETTINGS.json``.
+"""
+
+import sys
+from typing import Any
+
+from persimmonreach.core import Endpoint, MonotonicClock
+from persimmonreach.standins._caller_journal import (
+    answered_by_second,
+    count_outcomes,
+)
+from persimmonreach.standins._caller_task import (
+    CallersSettings,
+    CallersTask,
+    StopCalling,
+)
+from persimmonreach.standins._process import (
+    JsonServer,
+    announce,
+    load_settings,
+    wait_for_termination,
+)
+
+
+class CallersControl:
+    """HTTP interface of the callers.
+
+    Parameters
+    ----------
+    task
+        Task that is shown and controlled.
+
+    """
+
+    def __init__(self, task: CallersTask) -> None:
+        self._task = task
+
+    def server(self, bind: Endpoint) -> JsonServer:
+        """Return the HTTP server."""
+        return JsonServer(
+            bind,
+            {
+                'GET /journal': self._journal,
+                'GET /status': self._status,
+                'POST /stop': self._stop,
+            },
+        )
+
+    def _journal(self, _: Any) -> Any:
+        journal = self._task.journal
+        journal['seconds'] = answered_by_second(journal)
+        return journal
+
+    def _status(self, _: Any) -> Any:
+        journal = self._task.journal
+        return {
+            'open_flows': journal['open_flows'],
+            'pushes': journal['pushes'],
+            'resets': len(journal['resets']),
+            **count_outcomes(journal),
+        }
+
+    def _stop(self, _: Any) -> Any:
+        self._task.post(StopCalling())
+        return {}
+
+
+def main(path: str) -> None:
+    """Run the callers until SIGTERM."""
+    settings = load_settings(CallersSettings, path)
+    with CallersTask(settings, MonotonicClock()) as task:
+        server = CallersControl(task).server(
+            Endpoint(settings.host, settings.http_port),
+        )
+        server.start()
+        announce(http=server.port)
+        wait_for_termination()
+        server.stop()
+
+
+if __name__ == '__main__':
+    main(sys.argv[1])
--- /dev/null
+++ b/packages/standins/tests/test_caller_flow.py
@@ -0,0 +1,109 @@
+"""Guards against callers that miss wrong answers, resets and requests run twice."""
+
+import random
+from typing import Any
+
+import pytest
+
+from persimmonreach.core import Endpoint, FlowKey, Tick
+from persimmonreach.packets import (
+    ACK,
+    PSH,
+    RST,
+    SYN,
+    AnswerFrame,
+    FlowEnds,
+    Ipv4TcpCodec,
+    MsgpackFrameCodec,
+    Outcome,
+    RefusalFrame,
+    RequestFrame,
+    Segment,
+    build_outbound,
+    flow_key,
+)
+from persimmonreach.standins._caller_events import (
+    Ended,
+    FlowPlan,
+    Inbound,
+    RequestEnded,
+    Transmit,
+)
+from persimmonreach.standins._caller_flow import CallerFlow
+from persimmonreach.standins._caller_journal import CallOutcome
+
+SERVICE = Endpoint('10.9.0.1', 443)
+CALLER = Endpoint('10.1.0.1', 10_000)
+KEY = flow_key(FlowEnds(CALLER, SERVICE))
+
+
+def open_flow(flow: CallerFlow) -> RequestFrame:
+    flow.handle(Tick(), 0)
+    syn_ack = build_outbound(KEY, Segment(SYN | ACK, 50, 1))
+    flow.handle(Inbound(syn_ack), 0)
+    return sent_frame(flow.handle(Tick(), 0))
+
+
+def sent_frame(actions: tuple[Any, ...]) -> RequestFrame:
+    packet = next(action.packet for action in actions if isinstance(action, Transmit))
+    header = Ipv4TcpCodec().read_inbound(packet)
+    return MsgpackFrameCodec().decode(packet[header.payload_offset :])
+
+
+def inbound(frame: Any, key: FlowKey = KEY) -> Inbound:
+    payload = MsgpackFrameCodec().encode(frame)
+    return Inbound(build_outbound(key, Segment(PSH | ACK, 51, 1, payload)))
+
+
+def caller_flow(idempotent_share: float = 0) -> CallerFlow:
+    plan = FlowPlan(KEY, True, 1, idempotent_share=idempotent_share)
+    return CallerFlow(plan, random.Random(1))
+
+
+def test_mixed_up_and_foreign_answers_are_wrong_or_ignored() -> None:
+    flow = caller_flow()
+    frame = open_flow(flow)
+    foreign = AnswerFrame(b'x' * 16, 1, 0, 1, b'')
+    assert not flow.handle(inbound(foreign), 0.1)
+    half = AnswerFrame(frame.request_id, 1, 0, 2, b'half')
+    assert not flow.handle(inbound(half), 0.1)
+    other = AnswerFrame(frame.request_id, 2, 1, 2, b'other attempt')
+    assert not flow.handle(inbound(other), 0.1)
+    rest = AnswerFrame(frame.request_id, 1, 1, 2, b'rest')
+    ended = flow.handle(inbound(rest), 0.1)
+    assert ended == (RequestEnded(frame.request_id, CallOutcome.WRONG),)
+
+
+def test_request_is_repeated_under_its_id_and_lost_only_after_the_deadline() -> None:
+    flow = caller_flow()
+    frame = open_flow(flow)
+    again = sent_frame(flow.handle(Tick(), 0.3))
+    assert again.request_id == frame.request_id
+    assert again.deadline_ms < frame.deadline_ms
+    assert not any(
+        isinstance(action, RequestEnded) for action in flow.handle(Tick(), 3.5)
+    )
+    assert RequestEnded(frame.request_id, CallOutcome.NO_REPLY) in flow.handle(Tick(), 4)
+
+
+@pytest.mark.parametrize('outcome', [Outcome.NOT_RUN, Outcome.UNKNOWN])
+def test_order_is_sent_again_only_after_not_run(outcome: Outcome) -> None:
+    flow = caller_flow()
+    frame = open_flow(flow)
+    refusal = RefusalFrame(frame.request_id, 0, outcome, 'test')
+    flow.handle(inbound(refusal), 0.1)
+    actions = flow.handle(Tick(), 0.5)
+    if outcome == Outcome.NOT_RUN:
+        assert sent_frame(actions).request_id != frame.request_id
+    else:
+        assert not any(
+            Ipv4TcpCodec().read_inbound(action.packet).payload_size for action in actions
+        )
+
+
+def test_reset_of_an_established_flow_is_seen() -> None:
+    flow = caller_flow()
+    frame = open_flow(flow)
+    reset = Inbound(build_outbound(KEY, Segment(RST, 51)))
+    expected = (RequestEnded(frame.request_id, CallOutcome.RESET), Ended('reset'))
+    assert flow.handle(reset, 0.1) == expected
