Add the packet path, local flows, endpoints and composition roots

Cause: the slices had no joining path. Change: flow table with probing of silent flows, routing table of an entry instance, packet path and action translation of an agent, metrics and health endpoints, gRPC service for operators, composition roots of entry and agent.

--- /dev/null
+++ b/packages/control/src/persimmonreach/control/messages.py
@@ -0,0 +1,118 @@
+"""Requests and replies of the operators' service."""
+
+from types import MappingProxyType
+from typing import Final, NamedTuple
+
+
+class StatusRequest(NamedTuple):
+    """Asks for the members that an entry instance knows."""
+
+
+class MemberStatus(NamedTuple):
+    """One agent as the entry instance sees it."""
+
+    service: str
+    agent: str
+    zone: str
+    state: str
+    alive: bool
+    incarnation: int
+
+
+class EntryStatus(NamedTuple):
+    """One registered entry instance."""
+
+    entry: str
+    zone: str
+
+
+class StatusReply(NamedTuple):
+    """State of one entry instance.
+
+    Attributes
+    ----------
+    instance
+        Entry instance that answers.
+    configuration_version
+        Version in force there.
+    configuration_age_s
+        Seconds since the version was last confirmed to be current.
+    zones_out
+        Availability zones taken out of service.
+    members
+        Known agents.
+    entries
+        Registered entry instances.
+
+    """
+
+    instance: str
+    configuration_version: int
+    configuration_age_s: float
+    zones_out: tuple[str, ...]
+    members: tuple[MemberStatus, ...]
+    entries: tuple[EntryStatus, ...]
+
+
+class ExplainRequest(NamedTuple):
+    """Asks where the packets of a TCP flow go."""
+
+    caller_host: str
+    caller_port: int
+    service_host: str
+    service_port: int
+
+
+class ExplainReply(NamedTuple):
+    """Where the packets of a flow go, and why."""
+
+    service: str
+    bucket: int
+    agent: str
+    zone: str
+    reason: str
+
+
+class ZoneRequest(NamedTuple):
+    """Sets an availability zone's state without the store.
+
+    Attributes
+    ----------
+    zone
+        Availability zone.
+    out
+        True takes it out of service, False returns it.
+    sequence
+        Milliseconds of wall-clock time at the operator; the highest wins.
+    override_id
+        Unique id, so that a repeated request has no further effect.
+
+    """
+
+    zone: str
+    out: bool
+    sequence: int
+    override_id: str
+
+
+class ZoneReply(NamedTuple):
+    """Whether the override is in force at the entry instance."""
+
+    accepted: bool
+    reason: str
+
+
+class Method(NamedTuple):
+    """One method of the operators' service."""
+
+    path: str
+    reply_type: type
+
+
+METHODS: Final = MappingProxyType(
+    {
+        StatusRequest: Method('/persimmonreach.Operator/Status', StatusReply),
+        ExplainRequest: Method('/persimmonreach.Operator/Explain', ExplainReply),
+        ZoneRequest: Method('/persimmonreach.Operator/SetZone', ZoneReply),
+    },
+)
--- /dev/null
+++ b/packages/daemon/src/persimmonreach/daemon/_dispatch.py
@@ -0,0 +1,45 @@
+"""Hands the actions of one task to the tasks that act on them."""
+
+from collections.abc import Mapping, Sequence
+
+import structlog
+
+from persimmonreach.core import Action, Count, StateChange
+from persimmonreach.observability import Counters, log_state_change
+from persimmonreach.runtime import Task
+
+
+class Dispatcher:
+    """Routes actions between the tasks of one process by their type.
+
+    Parameters
+    ----------
+    counters
+        Figures that ``Count`` actions add to.
+    logger
+        Writes one line for each ``StateChange``.
+
+    """
+
+    def __init__(
+        self,
+        counters: Counters,
+        logger: structlog.typing.FilteringBoundLogger,
+    ) -> None:
+        self._counters = counters
+        self._logger = logger
+        self._receivers: dict[type, Sequence[Task]] = {}
+
+    def connect(self, receivers: Mapping[type, Sequence[Task]]) -> None:
+        """Hand actions of these types to these tasks."""
+        self._receivers.update(receivers)
+
+    def accept(self, action: Action) -> None:
+        """Hand ``action`` to its receivers; count or log the general ones."""
+        if isinstance(action, Count):
+            self._counters.add(action.name, action.amount)
+        elif isinstance(action, StateChange):
+            log_state_change(self._logger, action)
+        else:
+            for task in self._receivers.get(type(action), ()):
+                task.post(action)
--- /dev/null
+++ b/packages/daemon/src/persimmonreach/daemon/_entry_process.py
@@ -0,0 +1,190 @@
+"""Composition root of an entry instance."""
+
+import random
+from contextlib import ExitStack
+from typing import Final
+
+import gevent
+
+from persimmonreach.configuration import (
+    AbsorbOverrides,
+    ConfigurationChanged,
+    EntriesChanged,
+    EntryConfiguration,
+    EntryInstance,
+)
+from persimmonreach.configuration import EntrySettings as ConfigurationSettings
+from persimmonreach.configuration.adapters import HttpStore
+from persimmonreach.configuration.messages import MESSAGE_TYPES as CONFIGURATION_TYPES
+from persimmonreach.configuration.tasks import EntryConfigurationTask
+from persimmonreach.control.adapters import ControlServer
+from persimmonreach.core import Endpoint, EntryId, MonotonicClock, Zone
+from persimmonreach.daemon._dispatch import Dispatcher
+from persimmonreach.daemon._entry_status import (
+    EntryOperatorService,
+    EntryState,
+    EntryStatusSource,
+)
+from persimmonreach.daemon._figures import TaskFigures
+from persimmonreach.daemon._settings import EntrySettings, shared_keys
+from persimmonreach.daemon._shutdown import StopSignal
+from persimmonreach.daemon._wire import make_codec
+from persimmonreach.membership import EntryMembership, ViewChanged
+from persimmonreach.membership.messages import MESSAGE_TYPES as MEMBERSHIP_TYPES
+from persimmonreach.membership.tasks import EntryMembershipTask
+from persimmonreach.observability import Counters, configure_logs
+from persimmonreach.observability.tasks import HttpEndpoint
+from persimmonreach.packets import Ipv4TcpCodec
+from persimmonreach.packets.adapters import UdpFabric
+from persimmonreach.routing import EntryRouter
+from persimmonreach.routing.tasks import FabricTask
+from persimmonreach.runtime import PeerTask, UdpSocket
+
+# The fabric polls readiness; packets already on their way still arrive.
+_WITHDRAW_S: Final = 2
+
+
+class EntryProcess:
+    """An entry instance with all its tasks.
+
+    Parameters
+    ----------
+    settings
+        Checked settings.
+
+    """
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self._settings = settings
+        self._clock = MonotonicClock()
+        self._counters = Counters()
+        self._logger = configure_logs(settings.instance)
+        self._dispatcher = Dispatcher(self._counters, self._logger)
+
+    def run(self) -> None:
+        """Run until SIGTERM or SIGINT, then shut down gracefully.
+
+        Raises
+        ------
+        OSError
+            If an address of the settings cannot be bound.
+
+        """
+        stop = StopSignal()
+        with ExitStack() as stack:
+            status = self._start(stack)
+            stop.wait()
+            status.withdraw()
+            self._logger.info('withdrawing', seconds=_WITHDRAW_S)
+            gevent.sleep(_WITHDRAW_S)
+        self._logger.info('stopped')
+
+    def _start(self, stack: ExitStack) -> EntryStatusSource:
+        peers = PeerTask(
+            UdpSocket(self._bind(self._settings.peer_port)),
+            make_codec(shared_keys(self._settings)),
+        )
+        entry = EntryInstance(
+            EntryId(self._settings.instance),
+            Zone(self._settings.zone),
+            peers.endpoint,
+        )
+        state = self._make_state(entry)
+        fabric = UdpFabric(UdpSocket(self._bind(self._settings.fabric_port)), None)
+        fabric_task = FabricTask(state.router, fabric, peers, self._clock)
+        membership_task = EntryMembershipTask(
+            state.membership,
+            peers.send,
+            self._dispatcher.accept,
+            self._clock,
+        )
+        configuration_task = self._make_configuration_task(state, entry, peers)
+        self._dispatcher.connect(
+            {
+                ConfigurationChanged: (fabric_task, membership_task),
+                EntriesChanged: (membership_task,),
+                ViewChanged: (fabric_task,),
+                AbsorbOverrides: (configuration_task,),
+            },
+        )
+        peers.connect(dict.fromkeys(MEMBERSHIP_TYPES.values(), membership_task))
+        peers.connect(dict.fromkeys(CONFIGURATION_TYPES.values(), configuration_task))
+        status = EntryStatusSource(state)
+        for task in (peers, membership_task, configuration_task, fabric_task):
+            stack.enter_context(task)
+        self._publish_figures(state, peers, fabric_task)
+        self._start_endpoints(stack, state, status, configuration_task, fabric, peers)
+        return status
+
+    def _make_state(self, entry: EntryInstance) -> EntryState:
+        rng = random.SystemRandom()
+        settings = ConfigurationSettings(entry.entry, entry.zone, self._settings.seeds)
+        return EntryState(
+            self._settings,
+            self._clock,
+            EntryRouter(entry.zone, Ipv4TcpCodec()),
+            EntryConfiguration(settings, rng),
+            EntryMembership(entry, self._settings.membership, rng),
+        )
+
+    def _make_configuration_task(
+        self,
+        state: EntryState,
+        entry: EntryInstance,
+        peers: PeerTask,
+    ) -> EntryConfigurationTask:
+        return EntryConfigurationTask(
+            state.configuration,
+            entry,
+            HttpStore(self._settings.store),
+            peers.send,
+            self._dispatcher.accept,
+            self._clock,
+        )
+
+    def _publish_figures(
+        self,
+        state: EntryState,
+        peers: PeerTask,
+        fabric_task: FabricTask,
+    ) -> None:
+        self._counters.register(
+            TaskFigures(
+                lambda: {**peers.counts, **fabric_task.counts},
+                lambda: {
+                    'configuration_version': state.router.configuration.version,
+                    'configuration_age_seconds': state.configuration.age(
+                        self._clock.now(),
+                    ),
+                    'members': len(state.membership.rows),
+                },
+            ),
+        )
+
+    def _start_endpoints(
+        self,
+        stack: ExitStack,
+        state: EntryState,
+        status: EntryStatusSource,
+        configuration_task: EntryConfigurationTask,
+        fabric: UdpFabric,
+        peers: PeerTask,
+    ) -> None:
+        http = HttpEndpoint(self._bind(self._settings.http_port), self._counters, status)
+        control = ControlServer(
+            EntryOperatorService(state, status, configuration_task),
+            self._bind(self._settings.control_port),
+        )
+        for server in (http, control):
+            server.start()
+            stack.callback(server.stop)
+        self._logger.info(
+            'listening',
+            fabric=fabric.endpoint.port,
+            peer=peers.endpoint.port,
+            http=http.endpoint.port,
+            control=control.endpoint.port,
+        )
+
+    def _bind(self, port: int) -> Endpoint:
+        return Endpoint(self._settings.host, port)
--- /dev/null
+++ b/packages/observability/src/persimmonreach/observability/_counters.py
@@ -0,0 +1,72 @@
+"""Plain counters that are published when they are scraped.
+
+A labelled increment of the metrics library costs 6 us, so tasks count in
+plain integers and the library only renders them.
+"""
+
+from abc import ABC, abstractmethod
+from collections import Counter
+from collections.abc import Mapping
+from typing import Final
+
+from aioprometheus import Counter as CounterMetric
+from aioprometheus import Gauge as GaugeMetric
+from aioprometheus import Registry
+from aioprometheus.renderer import render
+
+_PREFIX: Final = 'persimmonreach_'
+
+
+class CounterSource(ABC):
+    """A part of the process that has figures to publish."""
+
+    @abstractmethod
+    def counters(self) -> Mapping[str, int]:
+        """Return figures that only rise, by name."""
+
+    @abstractmethod
+    def gauges(self) -> Mapping[str, float]:
+        """Return present values, by name."""
+
+
+class Counters:
+    """Counters of one process, and the sources of further figures."""
+
+    def __init__(self) -> None:
+        self._counts: Counter[str] = Counter()
+        self._sources: list[CounterSource] = []
+
+    def add(self, name: str, amount: int = 1) -> None:
+        """Add ``amount`` to the counter ``name``."""
+        self._counts[name] += amount
+
+    def register(self, source: CounterSource) -> None:
+        """Publish the figures of ``source`` as well."""
+        self._sources.append(source)
+
+    def snapshot(self) -> dict[str, float]:
+        """Return all figures by name."""
+        figures: dict[str, float] = dict(self._counts)
+        for source in self._sources:
+            figures.update(source.counters())
+            figures.update(source.gauges())
+        return figures
+
+    def render(self, accept: str) -> tuple[bytes, Mapping[str, str]]:
+        """Return all figures in the exposition format, and HTTP headers."""
+        registry = Registry()
+        for name, amount in sorted(self._all_counts().items()):
+            metric = CounterMetric(_PREFIX + name, name, registry=registry)
+            metric.set({}, amount)
+        for source in self._sources:
+            for name, figure in source.gauges().items():
+                gauge = GaugeMetric(_PREFIX + name, name, registry=registry)
+                gauge.set({}, figure)
+        content, headers = render(registry, [accept])
+        return content, headers
+
+    def _all_counts(self) -> Counter[str]:
+        counts = Counter(self._counts)
+        for source in self._sources:
+            counts.update(source.counters())
+        return counts
--- /dev/null
+++ b/packages/routing/src/persimmonreach/routing/_agent.py
@@ -0,0 +1,222 @@
+"""Packet path and state of an agent: joins the slices' state machines."""
+
+from collections.abc import Mapping
+from types import MappingProxyType
+
+from persimmonreach.admission import BackendReported, BackendState, LimitSettings
+from persimmonreach.configuration import Configuration, ConfigurationChanged
+from persimmonreach.core import Action, Count, Event, Received, StateMachine, Tick
+from persimmonreach.flows import AdoptFlows, EndAllFlows, EndReason
+from persimmonreach.membership import (
+    LeaseLapsed,
+    LeaseRenewed,
+    MemberState,
+    ReportLoad,
+    StateAnnounced,
+    ViewChanged,
+    ViewConfirmed,
+)
+from persimmonreach.ownership import LocalFlowsAdopted, PacketArrived
+from persimmonreach.packets import ForwardedPacket, PacketError
+from persimmonreach.requests import BackendLost, DrainStarted
+from persimmonreach.routing._agent_events import (
+    BackendPacketArrived,
+    BackendServerLost,
+    ConnectionsRead,
+    DrainRequested,
+)
+from persimmonreach.routing._packet_path import PacketPath
+from persimmonreach.routing._parts import AgentParts, report_flows
+from persimmonreach.routing._translation import ActionTranslator
+
+
+class AgentRouter(StateMachine):
+    """Decides on every packet, message and change that reaches an agent.
+
+    Actions that one slice addresses to another are handled here; only actions
+    for the outside (``Send``, ``Deliver``, ``Reply``, ``Count``,
+    ``StateChange``, ``StateAnnounced``, ``FlowsCounted``) are returned.
+
+    Parameters
+    ----------
+    parts
+        State machines and settings of the agent.
+    wire_routes
+        State machine of the slice that receives each wire message type.
+
+    """
+
+    def __init__(
+        self,
+        parts: AgentParts,
+        wire_routes: Mapping[type, StateMachine],
+    ) -> None:
+        self._parts = parts
+        self._path = PacketPath(
+            parts.codecs,
+            parts.flows,
+            parts.requests,
+            parts.own_key,
+        )
+        self._routes = dict(wire_routes)
+        self._handlers = MappingProxyType(
+            {
+                Received: self._on_received,
+                BackendPacketArrived: self._on_backend_packet,
+                ConnectionsRead: self._on_connections,
+                BackendReported: self._on_report,
+                BackendServerLost: self._on_backend_lost,
+                DrainRequested: self._on_drain,
+                ConfigurationChanged: self._on_configuration,
+                ViewChanged: self._on_view,
+                ViewConfirmed: self._on_lease,
+                LeaseRenewed: self._on_lease,
+                LeaseLapsed: self._on_lease,
+                ReportLoad: self._on_report_load,
+                Tick: self._on_tick,
+            },
+        )
+        self._translator = ActionTranslator(parts, self._path)
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether the agent takes no new work."""
+        return self._parts.state.is_draining
+
+    @property
+    def has_requests(self) -> bool:
+        """Whether requests wait or run."""
+        return self._parts.requests.has_work
+
+    @property
+    def owned_buckets(self) -> int:
+        """Number of buckets whose token this agent holds."""
+        return self._parts.ownership.owned_count
+
+    @property
+    def request_limit(self) -> float:
+        """Requests that may run at the backend server at present."""
+        return self._parts.limit.limit
+
+    @property
+    def flow_count(self) -> int:
+        """Number of local flows."""
+        return len(self._parts.flows)
+
+    def handle(self, event: Event, now: float) -> tuple[Action, ...]:
+        """Return the actions for the outside that ``event`` causes."""
+        actions = self._handlers[type(event)](event, now)
+        return self._translator.translate(actions, now)
+
+    def _on_received(self, event: Received, now: float) -> tuple[Action, ...]:
+        message = event.message
+        if isinstance(message, ForwardedPacket):
+            return self._on_forwarded(message, now)
+        machine = self._routes.get(type(message))
+        if machine is None:
+            return (Count('messages_unexpected'),)
+        return machine.handle(event, now)
+
+    def _on_forwarded(
+        self,
+        message: ForwardedPacket,
+        now: float,
+    ) -> tuple[Action, ...]:
+        if message.service != self._parts.state.service.service:
+            return (Count('packets_wrong_service'),)
+        try:
+            header = self._parts.codecs.headers.read_inbound(message.packet)
+        except PacketError:
+            return (Count('packets_malformed'),)
+        if self._parts.flows.holds(header.key):
+            return self._path.from_caller(header, message.packet, now)
+        arrived = PacketArrived(header, message.packet, message.hops)
+        return self._parts.ownership.handle(arrived, now)
+
+    def _on_backend_packet(
+        self,
+        event: BackendPacketArrived,
+        now: float,
+    ) -> tuple[Action, ...]:
+        return self._path.from_backend(event.packet, now)
+
+    def _on_connections(
+        self,
+        event: ConnectionsRead,
+        now: float,
+    ) -> tuple[Action, ...]:
+        keys = tuple(
+            key
+            for key in event.keys
+            if key != self._parts.own_key and not self._parts.flows.holds(key)
+        )
+        adopted = self._parts.flows.handle(AdoptFlows(keys), now)
+        return adopted + self._parts.ownership.handle(LocalFlowsAdopted(keys), now)
+
+    def _on_report(self, event: BackendReported, now: float) -> tuple[Action, ...]:
+        self._parts.limit.observe(event, now)
+        if event.state is BackendState.DRAINING:
+            return self._on_drain(event, now)
+        return ()
+
+    def _on_backend_lost(
+        self,
+        event: BackendServerLost,
+        now: float,
+    ) -> tuple[Action, ...]:
+        lost = self._parts.requests.handle(BackendLost(), now)
+        ended = self._parts.flows.handle(EndAllFlows(EndReason.BACKEND_DOWN), now)
+        return lost + ended + self._on_drain(event, now)
+
+    def _on_drain(self, event: Event, now: float) -> tuple[Action, ...]:
+        if not self._parts.state.start_draining(now):
+            return ()
+        started = self._parts.requests.handle(DrainStarted(), now)
+        return (
+            StateAnnounced(MemberState.DRAINING),
+            *started,
+            *report_flows(self._parts, now),
+        )
+
+    def _on_configuration(
+        self,
+        event: ConfigurationChanged,
+        now: float,
+    ) -> tuple[Action, ...]:
+        self._apply_service(event.configuration)
+        actions = self._broadcast(event, now)
+        if self._parts.zone in event.configuration.zones_out:
+            ended = self._parts.flows.handle(EndAllFlows(EndReason.ZONE_OUT), now)
+            return actions + ended
+        return actions
+
+    def _apply_service(self, configuration: Configuration) -> None:
+        for service in configuration.services:
+            if service.service == self._parts.state.service.service:
+                self._parts.state.configure(service)
+                limits = LimitSettings(service.slots, service.slow_start_floor)
+                self._parts.limit.configure(limits)
+
+    def _on_view(self, event: ViewChanged, now: float) -> tuple[Action, ...]:
+        return self._broadcast(event, now)
+
+    def _on_lease(self, event: Event, now: float) -> tuple[Action, ...]:
+        return self._parts.ownership.handle(event, now)
+
+    def _on_report_load(self, event: ReportLoad, now: float) -> tuple[Action, ...]:
+        return self._parts.placement.handle(event, now)
+
+    def _on_tick(self, event: Tick, now: float) -> tuple[Action, ...]:
+        actions = self._broadcast(event, now) + self._parts.flows.handle(event, now)
+        if self._parts.state.is_past_deadline(now):
+            ended = EndAllFlows(EndReason.DRAIN_DEADLINE)
+            actions += self._parts.flows.handle(ended, now)
+        return actions + report_flows(self._parts, now)
+
+    def _broadcast(self, event: Event, now: float) -> tuple[Action, ...]:
+        parts = self._parts
+        return (
+            parts.ownership.handle(event, now)
+            + parts.placement.handle(event, now)
+            + parts.requests.handle(event, now)
+        )
--- /dev/null
+++ b/packages/routing/src/persimmonreach/routing/_state.py
@@ -0,0 +1,46 @@
+"""State of an agent that several slices depend on."""
+
+from persimmonreach.configuration import ServiceConfig
+
+
+class AgentState:
+    """Declared service of an agent, and since when it takes no new work.
+
+    Parameters
+    ----------
+    service
+        Service of the backend server.
+
+    """
+
+    def __init__(self, service: ServiceConfig) -> None:
+        self._service = service
+        self._started_at: float | None = None
+
+    @property
+    def service(self) -> ServiceConfig:
+        """Declaration of the service that is in force."""
+        return self._service
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether draining has started."""
+        return self._started_at is not None
+
+    def configure(self, service: ServiceConfig) -> None:
+        """Put a newer declaration of the service in force."""
+        self._service = service
+
+    def start_draining(self, now: float) -> bool:
+        """Start draining; return False if it had started before."""
+        if self._started_at is not None:
+            return False
+        self._started_at = now
+        return True
+
+    def is_past_deadline(self, now: float) -> bool:
+        """Return whether the declared deadline of draining has passed."""
+        deadline = self._service.drain_deadline_s
+        if self._started_at is None or not deadline:
+            return False
+        return now - self._started_at > deadline
--- a/packages/runtime/src/persimmonreach/runtime/__init__.py
+++ b/packages/runtime/src/persimmonreach/runtime/__init__.py
@@ -6,12 +6,15 @@
     WireCodec,
     WireError,
 )
+from persimmonreach.runtime._peer import PeerTask, PeerTransport
 from persimmonreach.runtime._task import Task
 from persimmonreach.runtime._transport import DatagramSocket, UdpSocket
 
 __all__ = (
     'DatagramSocket',
     'EnvelopeError',
+    'PeerTask',
+    'PeerTransport',
     'SharedKey',
     'Task',
     'UdpSocket',
