Add slow-start limit and placement of new flows

Admission had only its events. Placement draws two members and repeats an unanswered question only to the same member. An owner counts its own placements since a report once for each owner, since all owners fill the same gap at once.

--- a/packages/admission/src/persimmonreach/admission/__init__.py
+++ b/packages/admission/src/persimmonreach/admission/__init__.py
@@ -7,8 +7,24 @@
     BackendState,
     ConcurrencyLimit,
     LocalFlowCount,
+    PlacedFlowEnded,
     PlacementSettled,
     PlaceNew,
+    ReportLoad,
+)
+from persimmonreach.admission._limit import LimitSettings, SlowStartLimit
+from persimmonreach.admission._placement import Placement, PlacementSettings
+from persimmonreach.admission._policy import (
+    Candidate,
+    PlacementPolicy,
+    RandomChoice,
+    TwoChoices,
+)
+from persimmonreach.admission.messages import (
+    LoadReport,
+    PlaceAnswer,
+    PlaceFlow,
+    Verdict,
 )
 
 __all__ = (
@@ -16,8 +32,22 @@
     'AttemptResult',
     'BackendReported',
     'BackendState',
+    'Candidate',
     'ConcurrencyLimit',
+    'LimitSettings',
+    'LoadReport',
     'LocalFlowCount',
+    'PlaceAnswer',
+    'PlaceFlow',
     'PlaceNew',
+    'Placement',
+    'PlacedFlowEnded',
+    'PlacementPolicy',
+    'PlacementSettings',
     'PlacementSettled',
+    'RandomChoice',
+    'ReportLoad',
+    'SlowStartLimit',
+    'TwoChoices',
+    'Verdict',
 )
--- a/packages/admission/src/persimmonreach/admission/_events.py
+++ b/packages/admission/src/persimmonreach/admission/_events.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from persimmonreach.core import AgentId, FlowKey
+from persimmonreach.core import AgentId, Endpoint, FlowKey
 
 
 class BackendState(StrEnum):
@@ -38,6 +38,7 @@
     COMPLETED = 'completed'
     SHED = 'shed'
     TIMED_OUT = 'timed_out'
+    CANCELLED = 'cancelled'
 
 
 class ConcurrencyLimit(ABC):
@@ -86,6 +87,22 @@
     draining: bool
 
 
+class PlacedFlowEnded(NamedTuple):
+    """Event: a flow of the local backend server has ended.
+
+    Its key may be placed anew; without this event a new flow with the same key
+    would be accepted in the place of the old one for a while.
+    """
+
+    key: FlowKey
+
+
+class ReportLoad(NamedTuple):
+    """Event: send the agent's load to these agents of the service."""
+
+    endpoints: tuple[Endpoint, ...]
+
+
 class AdmitLocal(NamedTuple):
     """Action: open the flow on the local backend server."""
 
--- /dev/null
+++ b/packages/admission/src/persimmonreach/admission/_placement.py
@@ -0,0 +1,285 @@
+"""Choice of the backend server that a new flow lives on."""
+
+from random import Random
+from typing import Final, NamedTuple, final
+
+from persimmonreach.admission._accepting import FlowAcceptor
+from persimmonreach.admission._events import (
+    AdmitLocal,
+    LocalFlowCount,
+    PlacedFlowEnded,
+    PlacementSettled,
+    PlaceNew,
+    ReportLoad,
+)
+from persimmonreach.admission._peers import PeerLoads
+from persimmonreach.admission._policy import Candidate, PlacementPolicy
+from persimmonreach.admission.messages import (
+    LoadReport,
+    PlaceAnswer,
+    PlaceFlow,
+    Verdict,
+)
+from persimmonreach.configuration import ConfigurationChanged
+from persimmonreach.core import (
+    Action,
+    AgentId,
+    Count,
+    Event,
+    FlowKey,
+    Incarnation,
+    Received,
+    Send,
+    ServiceId,
+    StateMachine,
+    Tick,
+    Zone,
+)
+from persimmonreach.membership import Member, View, ViewChanged
+
+# The first choice and one more after a refusal.
+_MAX_CHOICES: Final = 2
+_NUMBER_BITS: Final = 48
+_DEFAULT_CONNECTIONS: Final = 2000
+
+
+class PlacementSettings(NamedTuple):
+    """Settings of placement.
+
+    Attributes
+    ----------
+    connections
+        Flows that one warm backend server bears.
+    repeat_s
+        Seconds without an answer after which the same member is asked again.
+    verdict_lifetime_s
+        Seconds for which an answer is kept for repeated messages; far longer
+        than the 10 s that a copy of a packet may live.
+
+    """
+
+    connections: int = _DEFAULT_CONNECTIONS
+    repeat_s: float = 0.3
+    verdict_lifetime_s: float = 120
+
+
+class _Pending(NamedTuple):
+    member: Member
+    message: PlaceFlow
+    sent_at: float
+    refused: frozenset[AgentId]
+
+
+@final
+class Placement(StateMachine):
+    """Places new flows of the agent's buckets, and takes flows of other owners.
+
+    Handles PlaceNew, LocalFlowCount, ViewChanged, ConfigurationChanged,
+    PlacedFlowEnded, ReportLoad, Received and Tick.
+
+    Parameters
+    ----------
+    agent, zone, service
+        Identity of the local agent.
+    settings
+        Times and the default flow limit.
+    policy
+        Choice among the members that may take a flow.
+    rng
+        Random numbers of the choice and the first message number.
+
+    """
+
+    def __init__(
+        self,
+        agent: AgentId,
+        zone: Zone,
+        service: ServiceId,
+        settings: PlacementSettings,
+        policy: PlacementPolicy,
+        rng: Random,
+    ) -> None:
+        self._agent = agent
+        self._zone = zone
+        self._settings = settings
+        self._policy = policy
+        self._rng = rng
+        self._view = View(service)
+        self._zones_out: frozenset[Zone] = frozenset()
+        self._peers = PeerLoads(settings.connections)
+        self._acceptor = FlowAcceptor(settings.connections, settings.verdict_lifetime_s)
+        self._pending: dict[FlowKey, _Pending] = {}
+        # Random, so that a restarted agent does not repeat earlier numbers.
+        self._number = rng.getrandbits(_NUMBER_BITS)
+        self._reports = 0
+
+    def handle(self, event: Event, now: float) -> tuple[Action, ...]:
+        """Return the actions that ``event`` causes."""
+        match event:
+            case PlaceNew():
+                return self._place_new(event, now)
+            case Received():
+                return self._receive(event, now)
+            case ReportLoad():
+                return self._report(event)
+            case ViewChanged():
+                return self._change_view(event.view)
+            case Tick():
+                return self._repeat(now)
+        self._note(event)
+        return ()
+
+    def _note(self, event: Event) -> None:
+        match event:
+            case LocalFlowCount():
+                self._acceptor.count(event)
+            case PlacedFlowEnded():
+                self._acceptor.release(event.key)
+            case ConfigurationChanged():
+                self._zones_out = event.configuration.zones_out
+                self._acceptor.close(self._zone in self._zones_out)
+
+    def _receive(self, event: Received, now: float) -> tuple[Action, ...]:
+        match event.message:
+            case PlaceFlow():
+                return self._asked(event, now)
+            case PlaceAnswer():
+                return self._answered(event.message, now)
+            case LoadReport():
+                if not self._peers.report(event.message):
+                    return (Count('load_reports_late'),)
+        return ()
+
+    def _place_new(self, event: PlaceNew, now: float) -> tuple[Action, ...]:
+        if event.key in self._pending:
+            return (Count('placements_repeated'),)
+        if self._zone in self._zones_out:
+            return (PlacementSettled(event.key, None), Count('placements_failed'))
+        return self._choose(event, frozenset(), now)
+
+    def _choose(
+        self,
+        flow: PlaceNew,
+        refused: frozenset[AgentId],
+        now: float,
+    ) -> tuple[Action, ...]:
+        candidates = self._candidates(refused)
+        if not candidates or len(refused) >= _MAX_CHOICES:
+            return (PlacementSettled(flow.key, None), Count('placements_failed'))
+        chosen = self._policy.choose(candidates, self._rng)
+        if chosen.agent == self._agent:
+            self._acceptor.admit()
+            return (
+                AdmitLocal(flow.key, flow.packet),
+                PlacementSettled(flow.key, self._agent),
+            )
+        self._number += 1
+        message = PlaceFlow(
+            self._view.service, flow.key, flow.packet, self._agent, self._number
+        )
+        member = self._view.find(chosen.agent)
+        self._pending[flow.key] = _Pending(member, message, now, refused)
+        self._peers.placed(chosen.agent)
+        return (Send(member.endpoint, message),)
+
+    def _candidates(self, refused: frozenset[AgentId]) -> list[Candidate]:
+        members = [
+            row
+            for row in self._view.members
+            if row.is_eligible and row.zone not in self._zones_out
+        ]
+        candidates = [
+            self._candidate(row, len(members))
+            for row in members
+            if row.agent not in refused and self._may_take(row)
+        ]
+        # A report may be out of date: members that reported themselves full
+        # are asked when there is no other.
+        free = [row for row in candidates if row.flows < row.flow_limit]
+        return free or candidates
+
+    def _may_take(self, member: Member) -> bool:
+        return member.agent != self._agent or self._acceptor.verdict is Verdict.ACCEPTED
+
+    def _candidate(self, member: Member, owners: int) -> Candidate:
+        is_near = member.zone == self._zone
+        if member.agent == self._agent:
+            own = self._acceptor
+            return Candidate(member.agent, is_near, own.flows, own.flow_limit)
+        return Candidate(
+            member.agent,
+            is_near,
+            self._peers.flows(member.agent, owners),
+            self._peers.flow_limit(member.agent),
+        )
+
+    def _asked(self, event: Received, now: float) -> tuple[Action, ...]:
+        message: PlaceFlow = event.message
+        if message.service != self._view.service:
+            return (Count('placements_of_other_service'),)
+        is_new = self._acceptor.is_new(message)
+        verdict = self._acceptor.decide(message, now)
+        answer = PlaceAnswer(
+            message.key,
+            self._agent,
+            message.number,
+            verdict,
+            self._acceptor.flows,
+            self._acceptor.flow_limit,
+        )
+        if is_new and verdict is Verdict.ACCEPTED:
+            return (
+                AdmitLocal(message.key, message.packet),
+                Send(event.sender, answer),
+            )
+        return (Send(event.sender, answer), Count(f'placements_{verdict}'))
+
+    def _answered(self, answer: PlaceAnswer, now: float) -> tuple[Action, ...]:
+        pending = self._pending.get(answer.key)
+        if pending is None or pending.message.number != answer.number:
+            return (Count('placement_answers_late'),)
+        self._pending.pop(answer.key)
+        self._peers.answer(answer)
+        if answer.verdict is Verdict.ACCEPTED:
+            return (PlacementSettled(answer.key, answer.agent),)
+        flow = PlaceNew(answer.key, pending.message.packet)
+        return self._choose(flow, pending.refused | {pending.member.agent}, now)
+
+    def _change_view(self, view: View) -> tuple[Action, ...]:
+        self._view = view
+        self._peers.keep(row.agent for row in view.members)
+        lost = [row for row in self._pending.values() if self._is_lost(row.member)]
+        for pending in lost:
+            self._pending.pop(pending.message.key)
+        return tuple(PlacementSettled(row.message.key, None) for row in lost)
+
+    def _is_lost(self, asked: Member) -> bool:
+        """Whether the asked process can no longer hold the flow or answer."""
+        row = self._view.find(asked.agent)
+        if row is None or row.incarnation != asked.incarnation:
+            return True
+        return not row.is_reachable
+
+    def _repeat(self, now: float) -> tuple[Action, ...]:
+        self._acceptor.forget(now)
+        due = now - self._settings.repeat_s
+        late = {
+            key: pending
+            for key, pending in self._pending.items()
+            if pending.sent_at <= due
+        }
+        for key, pending in late.items():
+            self._pending[key] = pending._replace(sent_at=now)
+        return tuple(Send(row.member.endpoint, row.message) for row in late.values())
+
+    def _report(self, event: ReportLoad) -> tuple[Action, ...]:
+        self._reports += 1
+        own = self._view.find(self._agent)
+        report = LoadReport(
+            self._agent,
+            own.incarnation if own else Incarnation(0),
+            self._acceptor.flows,
+            self._acceptor.flow_limit,
+            self._reports,
+        )
+        return tuple(Send(endpoint, report) for endpoint in event.endpoints)
