Add request handling with deduplication, answers and retries

The requests slice had only its events. Requests keeps one record a request, runs it at most once unless it is idempotent or proved not to have run, gives one outcome by the deadline, and runs single attempts for other agents.

The random sequences showed that a completion that began before a cold report raised the limit again; the limit now ignores such completions. It also drops to the floor when the backend server is lost, since it comes back cold.

--- a/packages/admission/src/persimmonreach/admission/_limit.py
+++ b/packages/admission/src/persimmonreach/admission/_limit.py
@@ -1,5 +1,6 @@
 """Slow start of a backend server that has just started or has gone cold."""
 
+from math import inf
 from typing import Final, NamedTuple, final
 
 from persimmonreach.admission._events import (
@@ -67,6 +68,7 @@
         self._report = _UNLOADED
         self._reported_at: float = 0
         self._used_at_report = 0
+        self._lowered_at = -inf
 
     @property
     def limit(self) -> float:
@@ -116,9 +118,9 @@
         """Free a slot after ``latency`` seconds of running."""
         self._in_use -= 1
         if outcome is AttemptResult.COMPLETED:
-            self._note_completion(latency)
+            self._note_completion(latency, now)
         elif outcome is not AttemptResult.CANCELLED:
-            self._lower(self._earned * _BACKOFF)
+            self._lower(self._earned * _BACKOFF, now)
         if self.limit < 1:
             # Idle for the part of the time that brings the average to the limit.
             idle = latency * (1 / self.limit - 1)
@@ -131,20 +133,23 @@
         self._reported_at = now
         self._used_at_report = self._in_use
         if report.state in {BackendState.COLD, BackendState.DOWN}:
-            self._lower(self._floor)
+            self._lower(self._floor, now)
 
     def _drop_old_report(self, now: float) -> None:
         if now - self._reported_at > _REPORT_LIFETIME_S:
             self._report = _UNLOADED
 
-    def _note_completion(self, latency: float) -> None:
+    def _note_completion(self, latency: float, now: float) -> None:
         is_slow = (
             self._completions >= _MIN_COMPLETIONS
             and latency > self._latency * _COLD_LATENCY_RATIO
         )
         self._average(latency)
         if is_slow:
-            self._lower(self._floor)
+            self._lower(self._floor, now)
+            return
+        if now - latency < self._lowered_at:
+            # It began before the limit fell and says nothing of the state since.
             return
         self._streak += 1
         if self._streak >= self._earned:
@@ -165,8 +170,9 @@
         raised = self._earned + 1 if self._earned >= 1 else min(1, self._earned * 2)
         self._earned = min(self._settings.slots, raised)
 
-    def _lower(self, limit: float) -> None:
+    def _lower(self, limit: float, now: float) -> None:
         self._streak = 0
+        self._lowered_at = now
         if self._settings.slow_start:
             self._earned = max(self._floor, limit)
 
--- a/packages/admission/tests/test_limit.py
+++ b/packages/admission/tests/test_limit.py
@@ -61,6 +61,18 @@
     assert slow.limit == 1
 
 
+def test_completions_of_attempts_from_before_the_fall_do_not_raise_the_limit() -> None:
+    limit = warm_limit()
+    for _ in range(3):
+        assert limit.try_acquire(100)
+    limit.observe(BackendReported(BackendState.COLD, 0), 100.05)
+    for _ in range(3):
+        limit.release(COMPLETED, 0.1, 100.1)
+    assert limit.limit == 1
+    run_one(limit, 101)
+    assert limit.limit == 2
+
+
 def test_a_lasting_change_of_latency_does_not_hold_the_limit_at_the_floor() -> None:
     limit = warm_limit()
     for now in range(100, 200, 2):
--- a/packages/requests/src/persimmonreach/requests/__init__.py
+++ b/packages/requests/src/persimmonreach/requests/__init__.py
@@ -1,5 +1,6 @@
 """Request deduplication, answers, refusals and retries."""
 
+from persimmonreach.requests._answers import PART_BYTES
 from persimmonreach.requests._events import (
     BackendAnswered,
     BackendLost,
@@ -12,16 +13,31 @@
     RequestArrived,
     RunAttempt,
 )
+from persimmonreach.requests._machine import Requests
+from persimmonreach.requests._settings import RequestSettings
+from persimmonreach.requests.messages import (
+    CancelElsewhere,
+    Ending,
+    RunElsewhere,
+    RunOutcome,
+)
 
 __all__ = (
+    'PART_BYTES',
     'BackendAnswered',
     'BackendLost',
     'BackendRefused',
     'CancelArrived',
     'CancelAttempt',
+    'CancelElsewhere',
     'DrainStarted',
+    'Ending',
     'FlowEnded',
     'ReplyFrame',
     'RequestArrived',
+    'RequestSettings',
+    'Requests',
     'RunAttempt',
+    'RunElsewhere',
+    'RunOutcome',
 )
--- /dev/null
+++ b/packages/requests/src/persimmonreach/requests/_machine.py
@@ -0,0 +1,177 @@
+"""Requests of one agent."""
+
+from random import Random
+from typing import Final, final
+
+from persimmonreach.admission import BackendReported, BackendState, ConcurrencyLimit
+from persimmonreach.configuration import ConfigurationChanged
+from persimmonreach.core import Action, AgentId, Event, Received, StateMachine, Tick
+from persimmonreach.membership import ViewChanged
+from persimmonreach.packets import Outcome
+from persimmonreach.requests._backend import BackendSide
+from persimmonreach.requests._callers import CallerSide
+from persimmonreach.requests._delegation import PeerSide
+from persimmonreach.requests._events import (
+    BackendAnswered,
+    BackendLost,
+    BackendRefused,
+    CancelArrived,
+    DrainStarted,
+    FlowEnded,
+    RequestArrived,
+)
+from persimmonreach.requests._lifecycle import Lifecycle
+from persimmonreach.requests._records import RequestState, Verdict
+from persimmonreach.requests._settings import RequestSettings
+from persimmonreach.requests.messages import (
+    CancelElsewhere,
+    RunElsewhere,
+    RunOutcome,
+)
+
+# A backend server that comes back is cold, whatever it reports first.
+_DOWN: Final = BackendReported(BackendState.DOWN, 0)
+_LOST: Final = Verdict(Outcome.NOT_RUN, 'backend_lost', 0)
+_DRAINING: Final = Verdict(Outcome.NOT_RUN, 'draining', 0)
+_ADOPTED: Final = Verdict(Outcome.UNKNOWN, 'agent_restarted', 0)
+_MS_PER_S: Final = 1000
+
+
+@final
+class Requests(StateMachine):
+    """Runs each request at most once and gives it exactly one outcome.
+
+    Handles RequestArrived, CancelArrived, BackendAnswered, BackendRefused,
+    BackendLost, BackendReported, FlowEnded, DrainStarted, ViewChanged,
+    ConfigurationChanged, Received and Tick.
+
+    Parameters
+    ----------
+    agent
+        The local agent.
+    settings
+        Bounds and times.
+    limit
+        Limit on the attempts that run at once at the local backend server.
+    rng
+        Random numbers of the choice of another agent.
+
+    """
+
+    def __init__(
+        self,
+        agent: AgentId,
+        settings: RequestSettings,
+        limit: ConcurrencyLimit,
+        rng: Random,
+    ) -> None:
+        self._settings = settings
+        self._limit = limit
+        self._requests = Lifecycle(agent, settings, limit, rng)
+        self._callers = CallerSide(self._requests)
+        self._backend = BackendSide(self._requests)
+        self._peers = PeerSide(self._requests, self._callers)
+        self._is_lost = False
+        self._is_draining = False
+        self._is_zone_out = False
+        self._started_at: float | None = None
+
+    @property
+    def has_work(self) -> bool:
+        """Whether a request has no outcome yet."""
+        return self._requests.table.has_open
+
+    @property
+    def records(self) -> int:
+        """Number of records kept."""
+        return len(self._requests.table)
+
+    def handle(self, event: Event, now: float) -> tuple[Action, ...]:
+        """Return the actions that ``event`` causes."""
+        if self._started_at is None:
+            self._started_at = now
+        self._handle_one(event, now)
+        self._requests.start_queued(now)
+        return self._requests.take_actions()
+
+    def _handle_one(self, event: Event, now: float) -> None:
+        match event:
+            case RequestArrived():
+                self._callers.request(event, self._request_refusal(event, now), now)
+            case CancelArrived():
+                self._callers.cancel(event, now)
+            case FlowEnded():
+                self._callers.end_flow(event, now)
+            case Received():
+                self._receive(event, now)
+            case Tick():
+                self._tick(now)
+            case _:
+                self._handle_backend(event, now)
+
+    def _handle_backend(self, event: Event, now: float) -> None:
+        match event:
+            case BackendAnswered():
+                self._backend.answered(event, now)
+            case BackendRefused():
+                self._backend.refused(event, now)
+            case BackendLost():
+                self._is_lost = True
+                self._backend.lost(now)
+                self._limit.observe(_DOWN, now)
+            case BackendReported():
+                self._limit.observe(event, now)
+                self._is_lost = self._is_lost and event.state is BackendState.DOWN
+            case _:
+                self._change(event, now)
+
+    def _change(self, event: Event, now: float) -> None:
+        match event:
+            case DrainStarted():
+                self._is_draining = True
+            case ViewChanged():
+                self._requests.targets.change_view(event.view)
+                self._peers.change_targets(now)
+            case ConfigurationChanged():
+                zones_out = event.configuration.zones_out
+                self._is_zone_out = self._settings.zone in zones_out
+                self._requests.configure(event.configuration)
+
+    def _receive(self, event: Received, now: float) -> None:
+        match event.message:
+            case RunElsewhere():
+                self._peers.run(event, self._peer_refusal, now)
+            case RunOutcome():
+                self._peers.outcome(event.message, now)
+            case CancelElsewhere():
+                self._peers.cancel(event.message, now)
+
+    def _tick(self, now: float) -> None:
+        for record in self._requests.table.open_records():
+            if now >= record.gives_up_at:
+                self._requests.expire(record, now)
+            elif record.state is RequestState.ELSEWHERE:
+                if now >= record.sent_at + self._settings.repeat_s:
+                    self._requests.ask_elsewhere(record, now)
+        self._requests.slots.expire(now)
+        self._requests.table.expire(now)
+
+    @property
+    def _peer_refusal(self) -> Verdict | None:
+        if self._is_lost:
+            return _LOST
+        return _DRAINING if self._is_draining or self._is_zone_out else None
+
+    def _request_refusal(self, event: RequestArrived, now: float) -> Verdict | None:
+        """Return the outcome of a request that must not run at present.
+
+        After a restart of the agent, an earlier copy of a request on an adopted
+        flow may have run; copies arrive for the largest deadline and the
+        lifetime of a copy.
+        """
+        ends = self._requests.ends
+        window_s = ends.largest_deadline_ms / _MS_PER_S + ends.copy_lifetime_s
+        is_recent = now < self._started_at + window_s
+        if event.adopted and is_recent and not event.frame.idempotent:
+            return _ADOPTED
+        return _LOST if self._is_lost else None
