Add declarations, publishing and configuration in force

Nothing read declarations, wrote them to the store or kept nodes current. The configuration slice now checks declarations against a JSON Schema and each other, plans and publishes changes by compare-and-swap of the head, settles lost answers by reading back and repeating the same swap, and spreads versions and zone overrides between entry instances and agents. Service keys hold the publish id, because two racing publishers plan the same version. The stand-in store serves the protocol over HTTP and in memory with the same faults.

--- /dev/null
+++ b/packages/configuration/tests/test_declarations.py
@@ -0,0 +1,77 @@
+"""Guards against invalid declarations that pass, and findings without place or remedy."""
+
+import json
+
+import pytest
+
+from persimmonreach.configuration import SourceFile, parse_declarations
+from persimmonreach.configuration.adapters import check_declarations
+from persimmonreach.core import FindingsError
+
+ZONES = SourceFile('zones.json', '{"availability_zones": ["a", "b"]}')
+VALID = {'name': 'sheets', 'address': {'host': '10.9.0.1', 'port': 443}, 'slots': 3}
+
+
+def _source(file: str = 'sheets', **changes: object) -> SourceFile:
+    return SourceFile(f'{file}.service.json', json.dumps({**VALID, **changes}, indent=1))
+
+
+def _findings(*files: SourceFile) -> list[str]:
+    with pytest.raises(FindingsError) as caught:
+        parse_declarations(files)
+    return [str(found) for found in caught.value.findings]
+
+
+def test_defaults_and_declared_values_are_taken_over() -> None:
+    source = _source(slow_start={'floor': 0.5}, requests={'largest_deadline_ms': 900})
+    service = parse_declarations([source, ZONES]).services[0]
+    assert service.slow_start_floor == pytest.approx(0.5)
+    assert service.largest_deadline_ms == 900
+    assert service.connections == 2000
+
+
+@pytest.mark.parametrize(
+    ('changes', 'expected'),
+    [
+        (
+            {'slot': 1},
+            'sheets.service.json:8: $.slot: unknown key "slot" (write "slots")',
+        ),
+        ({'drain_deadline_ms': 5}, 'write "drain_deadline_s"; the suffix is the unit'),
+        (
+            {'requests': {'largest_deadline_s': 5}},
+            'write "largest_deadline_ms"; the suffix',
+        ),
+        ({'slots': '3'}, "sheets.service.json:7: $.slots: '3' is not of type 'integer'"),
+        ({'slots': 0}, 'at least 1'),
+        ({'slots': True}, 'is not of type'),
+        ({'slow_start': {'floor': 4}}, 'floor is above slots (at most 3)'),
+        ({'name': 'Sheets'}, '$.name'),
+        ({'address': {'host': 'db.example', 'port': 1}}, 'an IP number'),
+        ({'address': {'host': '10.9.0.1'}}, '"port" is missing (add a whole number'),
+    ],
+)
+def test_each_fault_has_place_and_remedy(changes: dict, expected: str) -> None:
+    found = _findings(_source(**changes), ZONES)
+    assert len(found) == 1
+    assert expected in found[0]
+
+
+def test_all_findings_of_all_files_are_reported_together() -> None:
+    twin = SourceFile('x/sheets.service.json', _source().text)
+    broken = SourceFile('broken.service.json', '{\n"name": }')
+    doubled = SourceFile('doubled.service.json', '{"slots": 1, "slots": 2}')
+    found = _findings(_source(), twin, broken, doubled, _source('other', slots=0, port=1))
+    assert len(found) == 7
+    assert 'broken.service.json:2' in found[0]
+    assert 'occurs more than once' in found[1]
+    assert any('also declared in sheets.service.json' in line for line in found)
+    assert any('address is also used in' in line for line in found)
+    assert any('no availability zone is declared' in line for line in found)
+
+
+def test_unknown_files_are_not_ignored(tmp_path) -> None:
+    (tmp_path / 'sheets.json').write_text('{}')
+    with pytest.raises(FindingsError, match='cannot be read') as caught:
+        check_declarations(str(tmp_path), str(tmp_path / 'absent'))
+    assert len(caught.value.findings) == 2
--- /dev/null
+++ b/packages/standins/src/persimmonreach/standins/store_fake.py
@@ -0,0 +1,105 @@
+"""Store in memory, for tests and the fault matrix."""
+
+from collections.abc import Callable
+
+from persimmonreach.configuration import (
+    Listing,
+    Store,
+    StoreValue,
+    Watched,
+)
+from persimmonreach.core import Clock
+from persimmonreach.standins.store_state import Faults, FaultSwitch, StoreState
+
+
+class FakeStore(Store):
+    """Store in memory with settable faults; a watch never waits.
+
+    Parameters
+    ----------
+    clock
+        Clock of the leases.
+    state
+        Keys, shared by several clients of one store.
+
+    """
+
+    def __init__(self, clock: Clock, state: StoreState | None = None) -> None:
+        self._clock = clock
+        self._state = state or StoreState()
+        self._switch = FaultSwitch()
+        self._before: Callable[[str], None] | None = None
+
+    @property
+    def state(self) -> StoreState:
+        """Keys of the store."""
+        return self._state
+
+    @property
+    def calls(self) -> int:
+        """Calls so far."""
+        return self._switch.calls
+
+    @property
+    def writes(self) -> int:
+        """Writes since the faults were set."""
+        return self._switch.writes
+
+    def set_faults(self, faults: Faults) -> None:
+        """Replace the faults."""
+        self._switch.set_faults(faults)
+
+    def set_hook(self, before: Callable[[str], None] | None) -> None:
+        """Call ``before`` with the operation's name before each call."""
+        self._before = before
+
+    def get(self, key: str) -> StoreValue | None:
+        """Return the key, or nothing if it does not exist."""
+        self._enter('get')
+        return self._state.get(key, self._clock.now())
+
+    def list_prefix(self, prefix: str) -> Listing:
+        """Return all keys that start with ``prefix``, ordered by name."""
+        self._enter('list')
+        return self._state.list_prefix(prefix, self._clock.now())
+
+    def put(self, key: str, value: str, expected: int, lease: int = 0) -> int:
+        """Write a key and return its revision."""
+        self._enter('put')
+        row = StoreValue(key, value, expected)
+        revision = self._state.put(row, lease, self._clock.now())
+        self._switch.after_write()
+        return revision
+
+    def delete(self, key: str) -> None:
+        """Delete a key; does nothing if it does not exist."""
+        self._enter('delete')
+        self._state.delete(key, self._clock.now())
+        self._switch.after_write()
+
+    def grant_lease(self, ttl_s: float) -> int:
+        """Return a new lease that lasts ``ttl_s`` seconds."""
+        self._enter('grant')
+        lease = self._state.grant_lease(ttl_s, self._clock.now())
+        self._switch.after_write()
+        return lease
+
+    def keep_alive(self, lease: int) -> None:
+        """Renew a lease."""
+        self._enter('keepalive')
+        self._state.keep_alive(lease, self._clock.now())
+
+    def watch(
+        self,
+        prefixes: tuple[str, ...],
+        after: int,
+        timeout_s: float,
+    ) -> Watched:
+        """Return at once whether a key with one of ``prefixes`` changed."""
+        self._enter('watch')
+        return self._state.watched(prefixes, after, self._clock.now())
+
+    def _enter(self, operation: str) -> None:
+        if self._before is not None:
+            self._before(operation)
+        self._switch.before_call()
