Add commands for declarations, zones and the audit trail

Operators had no way to publish. The commands check, publish, availability-zone out and in, and audit report findings, lost races, unsettled changes and store outages with stable exit codes and as JSON. Waiting until a version is in force everywhere is an injected function.

--- /dev/null
+++ b/packages/cli/src/persimmonreach/cli/_commands.py
@@ -0,0 +1,109 @@
+"""Commands for declarations, zones and the audit trail."""
+
+from datetime import UTC, datetime
+from typing import ClassVar, Final
+
+from cleo.helpers import argument
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+from persimmonreach.cli._base import (
+    STORE_OPTIONS,
+    YES_OPTION,
+    ReportingCommand,
+    StoreCommand,
+)
+from persimmonreach.cli._exit import ExitCode, Report
+from persimmonreach.configuration import AuditRecord, read_audit, read_head
+from persimmonreach.configuration.adapters import check_declarations
+from persimmonreach.core import Zone
+
+_DIRECTORIES: Final = argument(
+    'directories', 'Directories of declarations', multiple=True
+)
+_ZONE: Final = argument('zone', 'Name of the availability zone')
+_MS_PER_S: Final = 1000
+
+
+class CheckCommand(ReportingCommand):
+    """Checks declarations without the store."""
+
+    name = 'check'
+    description = 'Check declarations and report all findings'
+    arguments: ClassVar[list[Argument]] = [_DIRECTORIES]
+
+    def _run(self) -> Report:
+        declarations = check_declarations(*self.argument('directories'))
+        services = [service.name for service in declarations.services]
+        zones = sorted(declarations.zones)
+        line = f'{len(services)} services and {len(zones)} availability zones are valid.'
+        details = {'services': services, 'availability_zones': zones}
+        return Report(ExitCode.DONE, 'valid', (line,), details)
+
+
+class PublishCommand(StoreCommand):
+    """Puts declarations in force."""
+
+    name = 'publish'
+    description = 'Check declarations, show the difference and publish it'
+    arguments: ClassVar[list[Argument]] = [_DIRECTORIES]
+    options: ClassVar[list[Option]] = [YES_OPTION, *STORE_OPTIONS]
+
+    def _run(self) -> Report:
+        declarations = check_declarations(*self.argument('directories'))
+        publisher = self._publisher(self._store())
+        plan = publisher.plan(declarations)
+        return self._submit(publisher, plan, ask=not self.option('yes'))
+
+
+class ZoneOutCommand(StoreCommand):
+    """Takes an availability zone out of service."""
+
+    name = 'availability-zone out'
+    description = 'Take an availability zone out of service'
+    arguments: ClassVar[list[Argument]] = [_ZONE]
+
+    def _run(self) -> Report:
+        publisher = self._publisher(self._store())
+        plan = publisher.plan_zone(Zone(self.argument('zone')), out=True)
+        return self._submit(publisher, plan, ask=False)
+
+
+class ZoneInCommand(StoreCommand):
+    """Puts an availability zone back in service."""
+
+    name = 'availability-zone in'
+    description = 'Put an availability zone back in service'
+    arguments: ClassVar[list[Argument]] = [_ZONE]
+
+    def _run(self) -> Report:
+        publisher = self._publisher(self._store())
+        plan = publisher.plan_zone(Zone(self.argument('zone')), out=False)
+        return self._submit(publisher, plan, ask=False)
+
+
+class AuditCommand(StoreCommand):
+    """Shows the kept audit records."""
+
+    name = 'audit'
+    description = 'Show who changed what, the newest first'
+
+    def _run(self) -> Report:
+        store = self._store()
+        records = read_audit(store, read_head(store).head)
+        lines = tuple(_record_line(record) for record in records)
+        details = {'records': [record._asdict() for record in records]}
+        return Report(ExitCode.DONE, 'audit', lines, details)
+
+
+def _record_line(record: AuditRecord) -> str:
+    when = datetime.fromtimestamp(record.wall_ms / _MS_PER_S, UTC)
+    summary = '; '.join(record.summary)
+    return '{0:%Y-%m-%d %H:%M:%S}Z {1} {2} -> {3} {4}: {5}'.format(
+        when,
+        record.operator,
+        record.from_version,
+        record.to_version,
+        record.result,
+        summary,
+    )
--- /dev/null
+++ b/packages/cli/tests/test_cli.py
@@ -0,0 +1,121 @@
+"""Guards against wrong exit codes, unstable output and changes made without consent."""
+
+import json
+from pathlib import Path
+
+import pytest
+from cleo.testers.application_tester import ApplicationTester
+
+from persimmonreach.cli.main import make_application
+from persimmonreach.configuration import ABSENT, Head, StoreValue, encode_head, read_head
+from persimmonreach.core import ManualClock
+from persimmonreach.standins.store_fake import FakeStore
+from persimmonreach.standins.store_state import Faults
+
+STORE = '--store 127.0.0.1:1 --operator kari --timeout 0'
+
+
+class _Cli:
+    def __init__(self, directory: Path) -> None:
+        self.store = FakeStore(ManualClock())
+        self.directory = directory
+        self.write(1)
+        (directory / 'zones.json').write_text('{"availability_zones": ["a", "b"]}')
+        application = make_application(lambda endpoint: self.store, _wait)
+        self.tester = ApplicationTester(application)
+
+    @property
+    def text(self) -> str:
+        return self.tester.io.fetch_output() + self.tester.io.fetch_error()
+
+    def write(self, slots: object) -> None:
+        address = {'host': '10.9.0.1', 'port': 1}
+        declared = {'name': 'x', 'address': address, 'slots': slots}
+        (self.directory / 'x.service.json').write_text(json.dumps(declared))
+
+    def run(self, command: str, answer: str = '') -> int:
+        return self.tester.execute(command, inputs=answer)
+
+    def publish(self, options: str = '--yes', answer: str = '') -> int:
+        return self.run(f'publish {self.directory} {options} {STORE}', answer)
+
+
+def _wait(version: int, timeout_s: float) -> tuple[str, ...]:
+    return (f'waited for {version}',)
+
+
+@pytest.fixture
+def cli(tmp_path: Path) -> _Cli:
+    return _Cli(tmp_path)
+
+
+def test_check_reports_findings_with_exit_code_2(cli: _Cli) -> None:
+    assert cli.run(f'check {cli.directory}') == 0
+    cli.write('one')
+    assert cli.run(f'check {cli.directory} --output json') == 2
+    found = json.loads(cli.text)['findings'][0]
+    assert found['path'] == '$.slots'
+    assert found['line'] == 1
+
+
+def test_publish_shows_the_difference_and_waits(cli: _Cli) -> None:
+    assert cli.publish() == 0
+    text = cli.text
+    assert 'service x: added' in text
+    assert 'waited for 1' in text
+    assert cli.publish('--yes --output json') == 0
+    assert json.loads(cli.text)['result'] == 'unchanged'
+
+
+def test_publish_asks_and_changes_nothing_without_consent(cli: _Cli) -> None:
+    assert cli.publish('', 'no\n') == 3
+    assert read_head(cli.store).head.version == 0
+    assert cli.publish('', 'yes\n') == 0
+    assert read_head(cli.store).head.version == 1
+
+
+def test_invalid_input_changes_nothing(cli: _Cli) -> None:
+    cli.write(0)
+    assert cli.publish() == 2
+    assert cli.run(f'publish {cli.directory} --yes --store nowhere') == 2
+    assert cli.run(f'availability-zone out q {STORE}') == 2
+    assert cli.store.writes == 0
+
+
+def test_store_outage_has_its_own_exit_code(cli: _Cli) -> None:
+    cli.store.set_faults(Faults(outage=True))
+    assert cli.publish('--yes --output json') == 5
+    assert json.loads(cli.text)['result'] == 'store_unavailable'
+
+
+def test_lost_race_and_unsettled_change_have_their_own_exit_codes(cli: _Cli) -> None:
+    def race(operation: str) -> None:
+        if operation == 'put' and cli.store.writes == 2:
+            rival = encode_head(Head(1, ('rival',)))
+            cli.store.state.put(StoreValue('head', rival, ABSENT), 0, 0)
+
+    def fail(operation: str) -> None:
+        if cli.store.writes >= 3:
+            cli.store.set_faults(Faults(outage=True))
+
+    cli.store.set_hook(race)
+    assert cli.publish() == 3
+    cli.store.set_hook(None)
+    cli.store.state.delete('head', 0)
+    cli.store.set_faults(Faults(lose_writes=frozenset((3,))))
+    cli.store.set_hook(fail)
+    assert cli.publish('--yes --output json') == 4
+    assert json.loads(cli.text)['to_version'] == 1
+
+
+def test_zone_changes_and_audit_trail(cli: _Cli) -> None:
+    cli.publish()
+    assert cli.run(f'availability-zone out a {STORE}') == 0
+    assert read_head(cli.store).head.zones[0].out
+    assert cli.run(f'availability-zone in a {STORE}') == 0
+    assert not read_head(cli.store).head.zones[0].out
+    assert cli.run(f'audit {STORE} --output json') == 0
+    records = json.loads(cli.text)['records']
+    assert [record['to_version'] for record in records] == [3, 2, 1]
+    assert {record['operator'] for record in records} == {'kari'}
+    assert {record['result'] for record in records} == {'accepted'}
