Add the demo of both deployments

Nothing ran all processes together. The demo starts them, drains and replaces a backend server, kills an entry instance, takes a zone out and returns it, publishes a change, and checks the promises from the journals of callers and backend servers.

--- a/packages/standins/src/persimmonreach/standins/_caller_task.py
+++ b/packages/standins/src/persimmonreach/standins/_caller_task.py
@@ -183,9 +183,9 @@
 
     def stop(self) -> None:
         """End all flows at once."""
+        super().stop()
         for task, _ in self._flows.values():
             task.stop()
-        super().stop()
 
     def receive(self, message: Any) -> None:
         """Handle one message from the mailbox."""
--- /dev/null
+++ b/packages/standins/src/persimmonreach/standins/_deployments.py
@@ -0,0 +1,127 @@
+"""The two deployments that the demo runs, with flows scaled down."""
+
+from typing import Any, Final, NamedTuple
+
+from persimmonreach.core import Endpoint
+
+_SERVICE_PORT: Final = 443
+_FLOWS_PER_SERVER: Final = 40
+_CALLERS_PER_ZONE: Final = 2
+_SINGLES_PER_S: Final = 20
+
+
+class ServicePlan(NamedTuple):
+    """One service of a deployment and its callers.
+
+    Attributes
+    ----------
+    servers
+        Number of backend servers.
+    flows
+        Long flows; 0 for a service with one request a flow.
+    singles_per_s
+        Flows of one request per second.
+    push_period_s
+        Seconds between pushes on a long flow; 0 for none.
+
+    """
+
+    name: str
+    host: str
+    servers: int
+    slots: int
+    flows: int = 0
+    period_s: float = 4
+    singles_per_s: float = 0
+    push_period_s: float = 0
+
+    @property
+    def address(self) -> Endpoint:
+        """Address that callers use."""
+        return Endpoint(self.host, _SERVICE_PORT)
+
+    def declaration(self, connections: int) -> dict[str, Any]:
+        """Return the declaration to publish."""
+        return {
+            'name': self.name,
+            'address': self.address._asdict(),
+            'slots': self.slots,
+            'slow_start': {'floor': 1},
+            'connections': connections,
+            'requests': {'largest_deadline_ms': 5000, 'retry_budget': 0.1},
+        }
+
+
+class Deployment(NamedTuple):
+    """One team's zones and services.
+
+    Attributes
+    ----------
+    key
+        Name in ``build/demo.json``.
+    caller_delay_ms
+        One way between callers and entry instances.
+
+    """
+
+    key: str
+    title: str
+    zones: tuple[str, ...]
+    caller_delay_ms: float
+    long_service: ServicePlan
+    single_service: ServicePlan
+
+    @property
+    def services(self) -> tuple[ServicePlan, ServicePlan]:
+        """Both services."""
+        return (self.long_service, self.single_service)
+
+    @property
+    def caller_hosts(self) -> tuple[str, ...]:
+        """Addresses of the callers, two for each zone."""
+        return tuple(
+            f'10.1.{zone}.{caller}'
+            for zone in range(1, len(self.zones) + 1)
+            for caller in range(1, _CALLERS_PER_ZONE + 1)
+        )
+
+    @property
+    def removed_zone(self) -> str:
+        """Zone that is taken out of service and returned."""
+        return self.zones[-1]
+
+
+TENDEDEROS: Final = Deployment(
+    'tendederos',
+    'Tendederos del Plata',
+    ('zone-a', 'zone-b', 'zone-c'),
+    caller_delay_ms=3,
+    long_service=ServicePlan(
+        'counter',
+        '10.9.0.1',
+        servers=7,
+        slots=3,
+        flows=7 * _FLOWS_PER_SERVER,
+        push_period_s=2,
+    ),
+    single_service=ServicePlan(
+        'sheet', '10.9.0.2', servers=3, slots=3, singles_per_s=_SINGLES_PER_S
+    ),
+)
+KARI_LAKAZ: Final = Deployment(
+    'kari_lakaz',
+    'Kari Lakaz Routes',
+    ('zone-a', 'zone-b', 'zone-c', 'zone-d'),
+    caller_delay_ms=1,
+    long_service=ServicePlan(
+        'dispatch',
+        '10.9.0.1',
+        servers=7,
+        slots=1,
+        flows=7 * _FLOWS_PER_SERVER,
+        push_period_s=2,
+    ),
+    single_service=ServicePlan(
+        'sheets', '10.9.0.2', servers=4, slots=1, singles_per_s=_SINGLES_PER_S
+    ),
+)
--- a/packages/standins/src/persimmonreach/standins/_process.py
+++ b/packages/standins/src/persimmonreach/standins/_process.py
@@ -16,6 +16,7 @@
 from geventhttpclient import HTTPClient
 
 from persimmonreach.core import Endpoint
+from persimmonreach.standins._records import read_record
 
 JsonFunction: TypeAlias = Callable[[Any], Any]
 _REQUEST_TIMEOUT_S: Final = 2.0
@@ -68,7 +69,7 @@
         body = environ['wsgi.input'].read()
         try:
             answer = function(msgspec.json.decode(body) if body else None)
-        except (msgspec.MsgspecError, KeyError) as error:
+        except (KeyError, TypeError, ValueError) as error:
             start_response('400 Bad Request', [])
             return [str(error).encode()]
         start_response('200 OK', [('Content-Type', 'application/json')])
@@ -111,10 +112,12 @@
     Raises
     ------
     msgspec.DecodeError
-        If the file is not JSON or a field is missing or of a wrong type.
+        If the file is not JSON.
+    RecordError
+        If a field is unknown, missing or of a wrong type.
 
     """
-    return msgspec.json.decode(Path(path).read_bytes(), type=settings_type)
+    return read_record(settings_type, msgspec.json.decode(Path(path).read_bytes()))
 
 
 def announce(**ports: int) -> None:
--- /dev/null
+++ b/packages/standins/src/persimmonreach/standins/_processes.py
@@ -0,0 +1,166 @@
+"""Child processes of the demo."""
+
+import signal
+import sys
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+import gevent
+import msgspec
+from gevent.event import AsyncResult
+from gevent.subprocess import (
+    PIPE,
+    STDOUT,
+    CalledProcessError,
+    Popen,
+    TimeoutExpired,
+    run,
+)
+
+from persimmonreach.core import Endpoint
+
+HOST: Final = '127.0.0.1'
+# A process loads gevent, msgspec and its slices; many start at once.
+START_TIMEOUT_S: Final = 15.0
+COMMAND_TIMEOUT_S: Final = 15.0
+# Graceful shutdown of a daemon takes 2 s; after this it is killed.
+STOP_TIMEOUT_S: Final = 5.0
+
+
+class DemoError(RuntimeError):
+    """The demo cannot go on: a process or a command failed."""
+
+
+class Child(NamedTuple):
+    """A running process and the ports it announced."""
+
+    name: str
+    process: Any
+    ports: dict[str, int]
+
+    def endpoint(self, port_name: str) -> Endpoint:
+        """Return the address of a port by its announced name."""
+        return Endpoint(HOST, self.ports[port_name])
+
+
+class Fleet:
+    """All processes of one deployment.
+
+    Parameters
+    ----------
+    directory
+        Receives settings and logs.
+
+    """
+
+    def __init__(self, directory: Path) -> None:
+        self._directory = directory
+        self._children: list[Child] = []
+
+    def start_module(self, name: str, module: str, settings: Any) -> Child:
+        """Start a stand-in with a settings file and wait for its ports."""
+        path = self.write(f'{name}.json', settings)
+        package = 'persimmonreach.standins'
+        return self.start(name, [sys.executable, '-m', f'{package}.{module}', path])
+
+    def start_daemon(self, name: str, role: str, settings: Any) -> Child:
+        """Start an entry instance or an agent and wait for its ports."""
+        path = self.write(f'{name}.json', settings)
+        return self.start(name, [script('persimmonreachd'), role, path])
+
+    def start(self, name: str, command: list[str]) -> Child:
+        """Start a process and wait until it prints its ports.
+
+        Raises
+        ------
+        DemoError
+            If the process ends or prints no ports in time.
+
+        """
+        process = Popen(
+            command,
+            stdout=PIPE,
+            stderr=STDOUT,
+            text=True,
+        )
+        ports = AsyncResult()
+        child = Child(name, process, {})
+        self._children.append(child)
+        gevent.spawn(self._copy_output, child, ports)
+        if not ports.wait(START_TIMEOUT_S):
+            raise DemoError(f'{name} did not start; see {self._log_path(name)}')
+        child.ports.update(ports.get())
+        return child
+
+    def write(self, name: str, content: Any) -> str:
+        """Write a JSON file and return its path."""
+        path = self._directory / name
+        path.write_bytes(msgspec.json.format(msgspec.json.encode(content)))
+        return str(path)
+
+    def stop(self) -> None:
+        """End all processes: SIGTERM, then SIGKILL for those that stay."""
+        running = [child for child in self._children if child.process.poll() is None]
+        for child in running:
+            child.process.terminate()
+        waits = [gevent.spawn(ending.process.wait) for ending in running]
+        gevent.joinall(waits, timeout=STOP_TIMEOUT_S)
+        for left in running:
+            if left.process.poll() is None:
+                left.process.kill()
+                left.process.wait()
+
+    def _copy_output(self, child: Child, ports: AsyncResult) -> None:
+        output = child.process.stdout
+        with self._log_path(child.name).open('w') as log:
+            for line in output:
+                log.write(line)
+                log.flush()
+                if not ports.ready() and '"listening"' in line:
+                    ports.set(_ports_in(line))
+        if not ports.ready():
+            ports.set(None)
+
+    def _log_path(self, name: str) -> Path:
+        return self._directory / f'{name}.log'
+
+
+def script(name: str) -> str:
+    """Return the path of a script of the virtual environment."""
+    return str(Path(sys.executable).parent / name)
+
+
+def run_command(*arguments: str) -> None:
+    """Run ``persimmonreach`` with arguments.
+
+    Raises
+    ------
+    DemoError
+        If it fails or takes too long.
+
+    """
+    command = [script('persimmonreach'), *arguments]
+    try:
+        run(
+            command,
+            check=True,
+            stdout=PIPE,
+            stderr=STDOUT,
+            timeout=COMMAND_TIMEOUT_S,
+        )
+    except CalledProcessError as error:
+        output = error.stdout.decode(errors='replace')
+        raise DemoError(f'{arguments}: exit {error.returncode}: {output}') from error
+    except (OSError, TimeoutExpired) as failure:
+        raise DemoError(f'{arguments}: {failure}') from failure
+
+
+def kill(child: Child) -> None:
+    """End a process without warning."""
+    child.process.send_signal(signal.SIGKILL)
+    child.process.wait()
+
+
+def _ports_in(line: str) -> dict[str, int]:
+    fields = msgspec.json.decode(line)
+    return {name: port for name, port in fields.items() if isinstance(port, int)}
--- a/packages/standins/src/persimmonreach/standins/fabric.py
+++ b/packages/standins/src/persimmonreach/standins/fabric.py
@@ -9,7 +9,6 @@
 from typing import Any, Final, NamedTuple
 
 import gevent
-import msgspec
 
 from persimmonreach.core import Endpoint, FlowKey
 from persimmonreach.runtime import Task, UdpSocket
@@ -21,6 +20,7 @@
     load_settings,
     wait_for_termination,
 )
+from persimmonreach.standins._records import read_record
 
 POLL_PERIOD_S: Final = 0.2
 _POLL_TIMEOUT_S: Final = 0.5
@@ -199,12 +199,12 @@
         return self._task.status
 
     def _entries(self, body: Any) -> Any:
-        entries = msgspec.convert(body['entries'], tuple[EntryAddress, ...])
+        entries = read_record(tuple[EntryAddress, ...], body['entries'])
         self._task.post(SetEntries(entries))
         return {}
 
     def _quality(self, body: Any) -> Any:
-        self._task.post(Quality(**body))
+        self._task.post(read_record(Quality, body))
         return {}
 
     def _forget(self, body: Any) -> Any:
--- /dev/null
+++ b/packages/standins/tests/test_journal.py
@@ -0,0 +1,111 @@
+"""Guards against a demo that passes although a promise is broken."""
+
+from typing import Any
+
+import pytest
+
+from persimmonreach.core import FlowKey
+from persimmonreach.packets import RequestFrame
+from persimmonreach.standins import _backend_journal as backend_journal
+from persimmonreach.standins import _caller_journal as caller_journal
+from persimmonreach.standins._caller_journal import CallOutcome
+from persimmonreach.standins._journal import Evidence, flow_figures, request_figures
+from persimmonreach.standins._report import check_promises, render_report
+from persimmonreach.standins._script import Figures
+
+FLOW = FlowKey(b'flow')
+
+
+def request_row(outcome: CallOutcome, order: str = 'o', idempotent: bool = False) -> Any:
+    return caller_journal.RequestRow(
+        order=order,
+        flow=FLOW.hex(),
+        idempotent=idempotent,
+        sent_at=1,
+        ended_at=2,
+        outcome=outcome,
+    )
+
+
+def evidence_of(requests: dict[bytes, Any], runs: list[list[bytes]]) -> Evidence:
+    callers = caller_journal.new_journal()
+    callers['requests'] = {name.hex(): row for name, row in requests.items()}
+    callers['seconds'] = caller_journal.answered_by_second(callers)
+    servers = []
+    for number, ids in enumerate(runs):
+        journal = backend_journal.new_journal(f's{number}')
+        for request_id in ids:
+            frame = RequestFrame(request_id, 1, False, 1000, b'')
+            backend_journal.note_run(journal, FLOW, frame, 1)
+        servers.append(journal)
+    return Evidence(callers, servers, {'s0': 'a', 's1': 'b'}, 'b', out_at=10)
+
+
+def test_run_on_two_servers_is_a_request_run_twice() -> None:
+    evidence = evidence_of({b'1': request_row(CallOutcome.ANSWERED)}, [[b'1'], [b'1']])
+    assert request_figures(evidence)['requests_run_twice'] == 1
+
+
+def test_order_that_ran_under_two_ids_is_a_false_not_run_and_ran_twice() -> None:
+    requests = {
+        b'1': request_row(CallOutcome.NOT_RUN),
+        b'2': request_row(CallOutcome.ANSWERED),
+    }
+    figures = request_figures(evidence_of(requests, [[b'1'], [b'2']]))
+    assert figures['false_not_run'] == figures['requests_run_twice'] == 1
+
+
+def test_idempotent_request_may_run_twice() -> None:
+    row = request_row(CallOutcome.ANSWERED, idempotent=True)
+    evidence = evidence_of({b'1': row}, [[b'1'], [b'1']])
+    assert not request_figures(evidence)['requests_run_twice']
+
+
+@pytest.mark.parametrize('outcome', [CallOutcome.NO_REPLY, CallOutcome.OPEN])
+def test_missing_reply_is_a_lost_request(outcome: CallOutcome) -> None:
+    evidence = evidence_of({b'1': request_row(outcome)}, [[b'1']])
+    assert request_figures(evidence)['requests_lost'] == 1
+
+
+def test_answer_to_a_request_that_no_server_ran_is_wrong() -> None:
+    evidence = evidence_of({b'1': request_row(CallOutcome.ANSWERED)}, [[]])
+    assert request_figures(evidence)['wrong_answers'] == 1
+
+
+@pytest.mark.parametrize(
+    ('holders', 'at', 'allowed'),
+    [([1], 11, 1), ([1], 9, 0), ([0], 11, 0), ([0, 1], 11, 0), ([], 11, 0)],
+)
+def test_reset_is_allowed_only_in_the_zone_taken_out(
+    holders: list[int], at: float, allowed: int
+) -> None:
+    evidence = evidence_of({}, [[], []])
+    for holder in holders:
+        backend_journal.note_flow(evidence.servers[holder], FLOW, 1)
+    row = caller_journal.EndedFlowRow(flow=FLOW.hex(), at=at, reason='reset')
+    evidence.callers['resets'].append(row)
+    figures = flow_figures(evidence)
+    assert figures['broken_flows_allowed'] == allowed
+    assert figures['broken_flows_not_allowed'] == 1 - allowed
+
+
+def test_second_with_too_few_answers_breaks_its_promise() -> None:
+    requests = {
+        bytes([number]): request_row(
+            CallOutcome.UNKNOWN if number < 2 else CallOutcome.ANSWERED, str(number)
+        )
+        for number in range(30)
+    }
+    evidence = evidence_of(requests, [[name for name in requests]])
+    figures = Figures(
+        **request_figures(evidence),
+        **flow_figures(evidence),
+        imbalance=1,
+        seconds_to_in_force=12.5,
+        seconds_to_last_packet_to_zone=5,
+        seconds_to_last_new_flow_while_draining=0,
+        duration_s=1,
+    )
+    broken = {row.figure for row in check_promises(figures) if not row.kept}
+    assert broken == {'lowest_answered_share', 'seconds_to_in_force'}
+    assert render_report('title', figures).count('BROKEN') == 2
