--- a/packages/daemon/src/persimmonreach/daemon/_agent_process.py
+++ b/packages/daemon/src/persimmonreach/daemon/_agent_process.py
@@ -126,9 +126,9 @@
         waiter = stack.enter_context(ServiceWaiter(self._settings.service))
         configuration_task = AgentConfigurationTask(
             self._configuration,
+            self._clock,
             peers.send,
             self._dispatcher.accept,
-            self._clock,
         )
         self._dispatcher.connect({ConfigurationChanged: (waiter,)})
         peers.connect(dict.fromkeys(CONFIGURATION_TYPES.values(), configuration_task))
--- a/packages/daemon/src/persimmonreach/daemon/_entry_process.py
+++ b/packages/daemon/src/persimmonreach/daemon/_entry_process.py
@@ -1,22 +1,25 @@
 """Composition root of an entry instance."""
 
 import random
+import time
 from contextlib import ExitStack
 from typing import Final
 
 import gevent
 
 from persimmonreach.configuration import (
-    AbsorbOverrides,
     ConfigurationChanged,
     EntriesChanged,
     EntryConfiguration,
     EntryInstance,
+    Publisher,
+    PublisherSettings,
+    Timing,
 )
 from persimmonreach.configuration import EntrySettings as ConfigurationSettings
 from persimmonreach.configuration.adapters import HttpStore
 from persimmonreach.configuration.messages import MESSAGE_TYPES as CONFIGURATION_TYPES
-from persimmonreach.configuration.tasks import EntryConfigurationTask
+from persimmonreach.configuration.tasks import EntryConfigurationTask, StoreAccess
 from persimmonreach.control.adapters import ControlServer
 from persimmonreach.core import Endpoint, EntryId, MonotonicClock, Zone
 from persimmonreach.daemon._dispatch import Dispatcher
@@ -104,7 +107,6 @@
                 ConfigurationChanged: (fabric_task, membership_task),
                 EntriesChanged: (membership_task,),
                 ViewChanged: (fabric_task,),
-                AbsorbOverrides: (configuration_task,),
             },
         )
         peers.connect(dict.fromkeys(MEMBERSHIP_TYPES.values(), membership_task))
@@ -133,13 +135,19 @@
         entry: EntryInstance,
         peers: PeerTask,
     ) -> EntryConfigurationTask:
+        store = HttpStore(self._settings.store)
+        publisher = Publisher(
+            store,
+            PublisherSettings(self._settings.instance),
+            Timing(time.time, gevent.sleep),
+        )
+        access = StoreAccess(store, entry, publisher, random.SystemRandom())
         return EntryConfigurationTask(
             state.configuration,
-            entry,
-            HttpStore(self._settings.store),
+            self._clock,
             peers.send,
             self._dispatcher.accept,
-            self._clock,
+            access,
         )
 
     def _publish_figures(
