Add bucket tokens, flow directory and flow lookup

The ownership slice had event types but no decisions. BucketOwnership now claims, grants and regenerates bucket tokens, keeps the flow directory and looks up flows whose holder is unknown. Random fault sequences check that no two agents admit in one bucket, that no first packet is placed twice and that no live flow is reset; with fencing switched off the check fails.

--- a/packages/ownership/src/persimmonreach/ownership/__init__.py
+++ b/packages/ownership/src/persimmonreach/ownership/__init__.py
@@ -10,16 +10,22 @@
     LocalFlowsAdopted,
     PacketArrived,
     ResetCaller,
+    ResetFlow,
 )
+from persimmonreach.ownership._machine import BucketOwnership
+from persimmonreach.ownership._settings import OwnershipSettings
 
 __all__ = (
     'Admit',
+    'BucketOwnership',
     'DeliverLocal',
     'EndLocalFlow',
     'FlowPlaced',
     'LocalFlowEnded',
     'LocalFlows',
     'LocalFlowsAdopted',
+    'OwnershipSettings',
     'PacketArrived',
     'ResetCaller',
+    'ResetFlow',
 )
--- a/packages/ownership/src/persimmonreach/ownership/_events.py
+++ b/packages/ownership/src/persimmonreach/ownership/_events.py
@@ -91,3 +91,13 @@
 
     key: FlowKey
     reason: str
+
+
+class ResetFlow(NamedTuple):
+    """Action: reset the caller of a flow that no agent may serve any more.
+
+    Ownership keeps no sequence numbers of the flow, so the reset waits for
+    the caller's next packet if the task has none either.
+    """
+
+    key: FlowKey
