Add heartbeats, admission leases, views and anti-entropy

The package held only the view types. Agents now hold an admission lease from a majority of registrars, and entry instances keep merged member rows with opinions, batched deltas and digest anti-entropy.

A majority is needed in the present registrar set and in each set replaced less than handover_s ago, so that two majorities share a registrar while a list of entry instances spreads.

--- a/packages/membership/src/persimmonreach/membership/__init__.py
+++ b/packages/membership/src/persimmonreach/membership/__init__.py
@@ -1,5 +1,15 @@
 """Heartbeats, admission leases, service views and anti-entropy."""
 
+from persimmonreach.membership._agent import AgentMembership
+from persimmonreach.membership._entry import EntryMembership
+from persimmonreach.membership._events import (
+    FlowsCounted,
+    ReportLoad,
+    StateAnnounced,
+    VersionOffered,
+)
+from persimmonreach.membership._registrars import choose_registrars
+from persimmonreach.membership._settings import MembershipSettings, check_settings
 from persimmonreach.membership._view import (
     LeaseLapsed,
     LeaseRenewed,
@@ -11,11 +21,20 @@
 )
 
 __all__ = (
+    'AgentMembership',
+    'EntryMembership',
+    'FlowsCounted',
     'LeaseLapsed',
     'LeaseRenewed',
     'Member',
     'MemberState',
+    'MembershipSettings',
+    'ReportLoad',
+    'StateAnnounced',
+    'VersionOffered',
     'View',
     'ViewChanged',
     'ViewConfirmed',
+    'check_settings',
+    'choose_registrars',
 )
