Encode rendezvous subjects and end a process whose task failed

Cause: the demo opened no flow. xxhash 4.1 refuses text, so every view raised TypeError; the greenlet ended and the process went on, looking healthy. Change: the text is encoded; an error of a task is raised in the main greenlet and ends the process; membership, ownership and admission share one type for each event.

--- a/packages/admission/src/persimmonreach/admission/__init__.py
+++ b/packages/admission/src/persimmonreach/admission/__init__.py
@@ -10,7 +10,6 @@
     PlacedFlowEnded,
     PlacementSettled,
     PlaceNew,
-    ReportLoad,
 )
 from persimmonreach.admission._limit import LimitSettings, SlowStartLimit
 from persimmonreach.admission._placement import Placement, PlacementSettings
@@ -46,7 +45,6 @@
     'PlacementSettings',
     'PlacementSettled',
     'RandomChoice',
-    'ReportLoad',
     'SlowStartLimit',
     'TwoChoices',
     'Verdict',
--- a/packages/admission/src/persimmonreach/admission/_events.py
+++ b/packages/admission/src/persimmonreach/admission/_events.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from persimmonreach.core import AgentId, Endpoint, FlowKey
+from persimmonreach.core import AgentId, FlowKey
 
 
 class BackendState(StrEnum):
@@ -97,12 +97,6 @@
     key: FlowKey
 
 
-class ReportLoad(NamedTuple):
-    """Event: send the agent's load to these agents of the service."""
-
-    endpoints: tuple[Endpoint, ...]
-
-
 class AdmitLocal(NamedTuple):
     """Action: open the flow on the local backend server."""
 
--- a/packages/admission/src/persimmonreach/admission/_placement.py
+++ b/packages/admission/src/persimmonreach/admission/_placement.py
@@ -10,7 +10,6 @@
     PlacedFlowEnded,
     PlacementSettled,
     PlaceNew,
-    ReportLoad,
 )
 from persimmonreach.admission._peers import PeerLoads
 from persimmonreach.admission._policy import Candidate, PlacementPolicy
@@ -35,7 +34,7 @@
     Tick,
     Zone,
 )
-from persimmonreach.membership import Member, View, ViewChanged
+from persimmonreach.membership import Member, ReportLoad, View, ViewChanged
 
 # The first choice and one more after a refusal.
 _MAX_CHOICES: Final = 2
--- a/packages/admission/tests/test_placement.py
+++ b/packages/admission/tests/test_placement.py
@@ -18,13 +18,12 @@
     PlacementSettled,
     PlaceNew,
     RandomChoice,
-    ReportLoad,
     TwoChoices,
     Verdict,
 )
 from persimmonreach.configuration import Configuration, ConfigurationChanged
 from persimmonreach.core import Count, Endpoint, Received, Send, Tick
-from persimmonreach.membership import Member, MemberState, View, ViewChanged
+from persimmonreach.membership import Member, MemberState, ReportLoad, View, ViewChanged
 
 SERVICE = 7
 IMBALANCE_BOUND: Final = 1.05
--- a/packages/core/src/persimmonreach/core/_hashing.py
+++ b/packages/core/src/persimmonreach/core/_hashing.py
@@ -19,7 +19,7 @@
 
 def rendezvous_score(subject: str, member: str) -> int:
     """Return the rendezvous weight of ``member`` for ``subject``."""
-    return xxhash.xxh3_64_intdigest(f'{subject}\n{member}')
+    return xxhash.xxh3_64_intdigest(f'{subject}\n{member}'.encode())
 
 
 def rank_members(subject: str, members: Iterable[str]) -> list[str]:
--- a/packages/daemon/src/persimmonreach/daemon/_entry_process.py
+++ b/packages/daemon/src/persimmonreach/daemon/_entry_process.py
@@ -45,6 +45,7 @@
 
 # The fabric polls readiness; packets already on their way still arrive.
 _WITHDRAW_S: Final = 2
+_MS_PER_S: Final = 1000
 
 
 class EntryProcess:
@@ -101,7 +102,9 @@
             self._dispatcher.accept,
             self._clock,
         )
-        configuration_task = self._make_configuration_task(state, entry, peers)
+        store = HttpStore(self._settings.store)
+        stack.callback(store.close)
+        configuration_task = self._make_configuration_task(state, entry, peers, store)
         self._dispatcher.connect(
             {
                 ConfigurationChanged: (fabric_task, membership_task),
@@ -134,12 +137,13 @@
         state: EntryState,
         entry: EntryInstance,
         peers: PeerTask,
+        store: HttpStore,
     ) -> EntryConfigurationTask:
-        store = HttpStore(self._settings.store)
         publisher = Publisher(
-            store,
             PublisherSettings(self._settings.instance),
-            Timing(time.time, gevent.sleep),
+            store,
+            Timing(self._clock, _wall_ms, gevent.sleep),
+            random.SystemRandom(),
         )
         access = StoreAccess(store, entry, publisher, random.SystemRandom())
         return EntryConfigurationTask(
@@ -196,3 +200,7 @@
 
     def _bind(self, port: int) -> Endpoint:
         return Endpoint(self._settings.host, port)
+
+
+def _wall_ms() -> int:
+    return int(time.time() * _MS_PER_S)
--- a/packages/membership/src/persimmonreach/membership/__init__.py
+++ b/packages/membership/src/persimmonreach/membership/__init__.py
@@ -6,7 +6,6 @@
     FlowsCounted,
     ReportLoad,
     StateAnnounced,
-    VersionOffered,
 )
 from persimmonreach.membership._registrars import choose_registrars
 from persimmonreach.membership._settings import MembershipSettings, check_settings
@@ -31,7 +30,6 @@
     'MembershipSettings',
     'ReportLoad',
     'StateAnnounced',
-    'VersionOffered',
     'View',
     'ViewChanged',
     'ViewConfirmed',
--- a/packages/membership/src/persimmonreach/membership/_agent.py
+++ b/packages/membership/src/persimmonreach/membership/_agent.py
@@ -5,7 +5,7 @@
 from types import MappingProxyType
 from typing import Any
 
-from persimmonreach.configuration import EntriesChanged
+from persimmonreach.configuration import EntriesChanged, VersionOffered
 from persimmonreach.core import (
     Action,
     Endpoint,
@@ -23,7 +23,6 @@
     FlowsCounted,
     ReportLoad,
     StateAnnounced,
-    VersionOffered,
 )
 from persimmonreach.membership._lease import Lease
 from persimmonreach.membership._registrars import RegistrarSets
--- a/packages/membership/src/persimmonreach/membership/_events.py
+++ b/packages/membership/src/persimmonreach/membership/_events.py
@@ -23,10 +23,3 @@
     """Send a load report to these members; once a heartbeat."""
 
     endpoints: tuple[Endpoint, ...]
-
-
-class VersionOffered(NamedTuple):
-    """An entry instance has a configuration of this version."""
-
-    version: int
-    source: Endpoint
--- a/packages/ownership/src/persimmonreach/ownership/__init__.py
+++ b/packages/ownership/src/persimmonreach/ownership/__init__.py
@@ -1,12 +1,12 @@
 """Bucket tokens, flow directory and flow lookup of an agent."""
 
+from persimmonreach.flows import LocalFlows
 from persimmonreach.ownership._events import (
     Admit,
     DeliverLocal,
     EndLocalFlow,
     FlowPlaced,
     LocalFlowEnded,
-    LocalFlows,
     LocalFlowsAdopted,
     PacketArrived,
     ResetCaller,
--- a/packages/ownership/src/persimmonreach/ownership/_answers.py
+++ b/packages/ownership/src/persimmonreach/ownership/_answers.py
@@ -10,10 +10,10 @@
     Send,
     rendezvous_score,
 )
+from persimmonreach.flows import LocalFlows
 from persimmonreach.ownership._chunks import split_flows
 from persimmonreach.ownership._claims import Claims
 from persimmonreach.ownership._directory import Directory
-from persimmonreach.ownership._events import LocalFlows
 from persimmonreach.ownership._handover import Claimant, Handover
 from persimmonreach.ownership._peers import Peers
 from persimmonreach.ownership._tokens import Tokens
--- a/packages/ownership/src/persimmonreach/ownership/_events.py
+++ b/packages/ownership/src/persimmonreach/ownership/_events.py
@@ -1,24 +1,11 @@
 """Events and actions of bucket ownership."""
 
-from abc import ABC, abstractmethod
 from typing import NamedTuple
 
-from persimmonreach.core import AgentId, BucketId, FlowKey
+from persimmonreach.core import AgentId, FlowKey
 from persimmonreach.packets import PacketHeader
 
 
-class LocalFlows(ABC):
-    """Flows that live on the local backend server."""
-
-    @abstractmethod
-    def holds(self, key: FlowKey) -> bool:
-        """Return whether the flow lives here."""
-
-    @abstractmethod
-    def keys_in(self, bucket: BucketId) -> tuple[FlowKey, ...]:
-        """Return the local flows of ``bucket``."""
-
-
 class PacketArrived(NamedTuple):
     """A packet of the agent's service arrived.
 
--- a/packages/ownership/src/persimmonreach/ownership/_handover.py
+++ b/packages/ownership/src/persimmonreach/ownership/_handover.py
@@ -3,9 +3,9 @@
 from typing import Any, NamedTuple
 
 from persimmonreach.core import AgentId, BucketId, Endpoint, Send
+from persimmonreach.flows import LocalFlows
 from persimmonreach.ownership._chunks import split_flows
 from persimmonreach.ownership._directory import Directory
-from persimmonreach.ownership._events import LocalFlows
 from persimmonreach.ownership._peers import Peers
 from persimmonreach.ownership._tokens import Tokens
 from persimmonreach.ownership.messages import (
--- a/packages/ownership/src/persimmonreach/ownership/_lookup.py
+++ b/packages/ownership/src/persimmonreach/ownership/_lookup.py
@@ -4,9 +4,10 @@
 from typing import Any, Final, NamedTuple
 
 from persimmonreach.core import AgentId, Count, FlowKey, Send, bucket_of
+from persimmonreach.flows import LocalFlows
 from persimmonreach.membership import Member
 from persimmonreach.ownership._directory import ANY_SEQUENCE, Directory
-from persimmonreach.ownership._events import LocalFlows, PacketArrived, ResetCaller
+from persimmonreach.ownership._events import PacketArrived, ResetCaller
 from persimmonreach.ownership._forwarding import forward
 from persimmonreach.ownership._peers import Peers
 from persimmonreach.ownership._tokens import Tokens
--- a/packages/ownership/src/persimmonreach/ownership/_machine.py
+++ b/packages/ownership/src/persimmonreach/ownership/_machine.py
@@ -21,6 +21,7 @@
     Tick,
     bucket_of,
 )
+from persimmonreach.flows import LocalFlows
 from persimmonreach.membership import (
     LeaseLapsed,
     LeaseRenewed,
@@ -32,7 +33,6 @@
     EndLocalFlow,
     FlowPlaced,
     LocalFlowEnded,
-    LocalFlows,
     LocalFlowsAdopted,
     PacketArrived,
 )
--- a/packages/ownership/src/persimmonreach/ownership/_messaging.py
+++ b/packages/ownership/src/persimmonreach/ownership/_messaging.py
@@ -5,8 +5,8 @@
 from typing import Any, TypeAlias
 
 from persimmonreach.core import Received, Send, bucket_of
+from persimmonreach.flows import LocalFlows
 from persimmonreach.ownership._answers import ClaimParts
-from persimmonreach.ownership._events import LocalFlows
 from persimmonreach.ownership._parts import Parts
 from persimmonreach.ownership.messages import (
     AnnounceFlows,
--- a/packages/ownership/src/persimmonreach/ownership/_packets.py
+++ b/packages/ownership/src/persimmonreach/ownership/_packets.py
@@ -3,11 +3,11 @@
 from typing import Any
 
 from persimmonreach.core import BucketId, Count, bucket_of
+from persimmonreach.flows import LocalFlows
 from persimmonreach.membership import Member
 from persimmonreach.ownership._events import (
     Admit,
     DeliverLocal,
-    LocalFlows,
     PacketArrived,
 )
 from persimmonreach.ownership._forwarding import forward
--- a/packages/ownership/src/persimmonreach/ownership/_parts.py
+++ b/packages/ownership/src/persimmonreach/ownership/_parts.py
@@ -4,10 +4,10 @@
 from typing import NamedTuple
 
 from persimmonreach.core import AgentId, ServiceId
+from persimmonreach.flows import LocalFlows
 from persimmonreach.ownership._answers import Answers
 from persimmonreach.ownership._claims import Claims
 from persimmonreach.ownership._directory import Directory
-from persimmonreach.ownership._events import LocalFlows
 from persimmonreach.ownership._handover import Handover
 from persimmonreach.ownership._lookup import Lookups
 from persimmonreach.ownership._pauses import Pauses
--- a/packages/ownership/src/persimmonreach/ownership/_records.py
+++ b/packages/ownership/src/persimmonreach/ownership/_records.py
@@ -3,9 +3,10 @@
 from typing import Any, NamedTuple
 
 from persimmonreach.core import AgentId, Count, Endpoint, FlowKey, Send, bucket_of
+from persimmonreach.flows import LocalFlows
 from persimmonreach.ownership._chunks import split_flows
 from persimmonreach.ownership._directory import ANY_SEQUENCE, Directory
-from persimmonreach.ownership._events import EndLocalFlow, LocalFlows, ResetFlow
+from persimmonreach.ownership._events import EndLocalFlow, ResetFlow
 from persimmonreach.ownership._peers import Peers
 from persimmonreach.ownership._tokens import Tokens
 from persimmonreach.ownership.messages import (
--- a/packages/routing/src/persimmonreach/routing/_agent.py
+++ b/packages/routing/src/persimmonreach/routing/_agent.py
@@ -91,7 +91,7 @@
     @property
     def owned_buckets(self) -> int:
         """Number of buckets whose token this agent holds."""
-        return self._parts.ownership.owned_count
+        return len(self._parts.ownership.owned)
 
     @property
     def request_limit(self) -> float:
@@ -154,10 +154,10 @@
         return adopted + self._parts.ownership.handle(LocalFlowsAdopted(keys), now)
 
     def _on_report(self, event: BackendReported, now: float) -> tuple[Action, ...]:
-        self._parts.limit.observe(event, now)
+        actions = self._parts.requests.handle(event, now)
         if event.state is BackendState.DRAINING:
-            return self._on_drain(event, now)
-        return ()
+            return actions + self._on_drain(event, now)
+        return actions
 
     def _on_backend_lost(
         self,
--- a/packages/routing/src/persimmonreach/routing/_parts.py
+++ b/packages/routing/src/persimmonreach/routing/_parts.py
@@ -6,6 +6,7 @@
 from persimmonreach.core import Action, FlowKey, StateMachine, Zone
 from persimmonreach.flows import FlowTable
 from persimmonreach.membership import FlowsCounted
+from persimmonreach.ownership import BucketOwnership
 from persimmonreach.requests import Requests
 from persimmonreach.routing._packet_path import Codecs
 from persimmonreach.routing._state import AgentState
@@ -17,7 +18,7 @@
     state: AgentState
     zone: Zone
     flows: FlowTable
-    ownership: StateMachine
+    ownership: BucketOwnership
     placement: StateMachine
     requests: Requests
     limit: SlowStartLimit
--- a/packages/routing/src/persimmonreach/routing/_translation.py
+++ b/packages/routing/src/persimmonreach/routing/_translation.py
@@ -19,8 +19,15 @@
     FlowPlaced,
     LocalFlowEnded,
     ResetCaller,
+    ResetFlow,
+)
+from persimmonreach.packets import (
+    ACK,
+    PacketHeader,
+    Segment,
+    build_outbound,
+    build_reset,
 )
-from persimmonreach.packets import PacketHeader, build_reset
 from persimmonreach.requests import CancelAttempt, FlowEnded, ReplyFrame, RunAttempt
 from persimmonreach.routing._packet_path import PacketPath
 from persimmonreach.routing._parts import AgentParts, report_flows
@@ -50,6 +57,7 @@
                 DeliverLocal: self._deliver_local,
                 ResetCaller: self._reset_caller,
                 EndLocalFlow: self._end_local_flow,
+                ResetFlow: self._reset_flow,
                 FlowClosed: self._flow_closed,
                 RunAttempt: path.run_attempt,
                 CancelAttempt: path.cancel_attempt,
@@ -97,6 +105,12 @@
     def _reset_caller(self, action: ResetCaller, now: float) -> tuple[Action, ...]:
         return (Reply(build_reset(action.header)),)
 
+    def _reset_flow(self, action: ResetFlow, now: float) -> tuple[Action, ...]:
+        # A reset without the right sequence number is ignored by the caller's
+        # stack (RFC 5961). An acknowledgement outside the window makes it
+        # answer with its numbers, and that packet is then answered with a reset.
+        return (Reply(build_outbound(action.key, Segment(ACK))),)
+
     def _end_local_flow(
         self,
         action: EndLocalFlow,
--- a/packages/runtime/src/persimmonreach/runtime/_task.py
+++ b/packages/runtime/src/persimmonreach/runtime/_task.py
@@ -58,7 +58,9 @@
         """Act on elapsed time."""
 
     def _spawn(self, function: Any) -> None:
-        self._greenlets.append(gevent.spawn(function))
+        greenlet = gevent.spawn(function)
+        greenlet.link_exception(_end_process)
+        self._greenlets.append(greenlet)
 
     def _run(self) -> None:
         deadline = gevent.get_hub().loop.now() + self._tick_seconds
@@ -72,3 +74,13 @@
                 self.tick()
             else:
                 self.receive(message)
+
+
+def _end_process(greenlet: gevent.Greenlet) -> None:
+    """Raise the error of a failed task in the main greenlet.
+
+    A process that goes on without one of its tasks would look healthy to the
+    others and do harm; one that ends is replaced.
+    """
+    error = greenlet.exception
+    gevent.get_hub().handle_system_error(type(error), error)
