--- a/packages/admission/src/persimmonreach/admission/_peers.py
+++ b/packages/admission/src/persimmonreach/admission/_peers.py
@@ -63,15 +63,10 @@
             agent: load for agent, load in self._loads.items() if agent in kept
         }
 
-    def flows(self, agent: AgentId, owners: int) -> int:
-        """Return the estimated flows of ``agent``.
-
-        Each of the ``owners`` places a like share of the new flows. Without
-        counting the others' placements all owners would fill the same gap
-        between two reports.
-        """
+    def flows(self, agent: AgentId) -> int:
+        """Return the estimated flows of ``agent``."""
         load = self._load(agent)
-        return load.flows + load.placed * owners
+        return load.flows + load.placed
 
     def flow_limit(self, agent: AgentId) -> int:
         """Return the flows that ``agent`` takes at present."""
--- a/packages/admission/src/persimmonreach/admission/_placement.py
+++ b/packages/admission/src/persimmonreach/admission/_placement.py
@@ -12,8 +12,9 @@
     PlaceNew,
     ReportLoad,
 )
+from persimmonreach.admission._members import MemberId, ServiceMembers
 from persimmonreach.admission._peers import PeerLoads
-from persimmonreach.admission._policy import Candidate, PlacementPolicy
+from persimmonreach.admission._policy import PlacementPolicy
 from persimmonreach.admission.messages import (
     LoadReport,
     PlaceAnswer,
@@ -100,14 +101,14 @@
         rng: Random,
     ) -> None:
         self._agent = agent
-        self._zone = zone
         self._settings = settings
         self._policy = policy
         self._rng = rng
-        self._view = View(service)
-        self._zones_out: frozenset[Zone] = frozenset()
         self._peers = PeerLoads(settings.connections)
         self._acceptor = FlowAcceptor(settings.connections, settings.verdict_lifetime_s)
+        self._members = ServiceMembers(
+            MemberId(agent, zone, service), self._acceptor, self._peers
+        )
         self._pending: dict[FlowKey, _Pending] = {}
         # Random, so that a restarted agent does not repeat earlier numbers.
         self._number = rng.getrandbits(_NUMBER_BITS)
@@ -136,8 +137,8 @@
             case PlacedFlowEnded():
                 self._acceptor.release(event.key)
             case ConfigurationChanged():
-                self._zones_out = event.configuration.zones_out
-                self._acceptor.close(self._zone in self._zones_out)
+                self._members.change_zones(event.configuration.zones_out)
+                self._acceptor.close(self._members.is_zone_out)
 
     def _receive(self, event: Received, now: float) -> tuple[Action, ...]:
         match event.message:
@@ -153,7 +154,7 @@
     def _place_new(self, event: PlaceNew, now: float) -> tuple[Action, ...]:
         if event.key in self._pending:
             return (Count('placements_repeated'),)
-        if self._zone in self._zones_out:
+        if self._members.is_zone_out:
             return (PlacementSettled(event.key, None), Count('placements_failed'))
         return self._choose(event, frozenset(), now)
 
@@ -163,7 +164,7 @@
         refused: frozenset[AgentId],
         now: float,
     ) -> tuple[Action, ...]:
-        candidates = self._candidates(refused)
+        candidates = self._members.candidates(refused)
         if not candidates or len(refused) >= _MAX_CHOICES:
             return (PlacementSettled(flow.key, None), Count('placements_failed'))
         chosen = self._policy.choose(candidates, self._rng)
@@ -175,47 +176,16 @@
             )
         self._number += 1
         message = PlaceFlow(
-            self._view.service, flow.key, flow.packet, self._agent, self._number
+            self._members.service, flow.key, flow.packet, self._agent, self._number
         )
-        member = self._view.find(chosen.agent)
+        member = self._members.find(chosen.agent)
         self._pending[flow.key] = _Pending(member, message, now, refused)
         self._peers.placed(chosen.agent)
         return (Send(member.endpoint, message),)
 
-    def _candidates(self, refused: frozenset[AgentId]) -> list[Candidate]:
-        members = [
-            row
-            for row in self._view.members
-            if row.is_eligible and row.zone not in self._zones_out
-        ]
-        candidates = [
-            self._candidate(row, len(members))
-            for row in members
-            if row.agent not in refused and self._may_take(row)
-        ]
-        # A report may be out of date: members that reported themselves full
-        # are asked when there is no other.
-        free = [row for row in candidates if row.flows < row.flow_limit]
-        return free or candidates
-
-    def _may_take(self, member: Member) -> bool:
-        return member.agent != self._agent or self._acceptor.verdict is Verdict.ACCEPTED
-
-    def _candidate(self, member: Member, owners: int) -> Candidate:
-        is_near = member.zone == self._zone
-        if member.agent == self._agent:
-            own = self._acceptor
-            return Candidate(member.agent, is_near, own.flows, own.flow_limit)
-        return Candidate(
-            member.agent,
-            is_near,
-            self._peers.flows(member.agent, owners),
-            self._peers.flow_limit(member.agent),
-        )
-
     def _asked(self, event: Received, now: float) -> tuple[Action, ...]:
         message: PlaceFlow = event.message
-        if message.service != self._view.service:
+        if message.service != self._members.service:
             return (Count('placements_of_other_service'),)
         is_new = self._acceptor.is_new(message)
         verdict = self._acceptor.decide(message, now)
@@ -246,20 +216,14 @@
         return self._choose(flow, pending.refused | {pending.member.agent}, now)
 
     def _change_view(self, view: View) -> tuple[Action, ...]:
-        self._view = view
-        self._peers.keep(row.agent for row in view.members)
-        lost = [row for row in self._pending.values() if self._is_lost(row.member)]
+        self._members.change_view(view)
+        lost = [
+            row for row in self._pending.values() if self._members.is_lost(row.member)
+        ]
         for pending in lost:
             self._pending.pop(pending.message.key)
         return tuple(PlacementSettled(row.message.key, None) for row in lost)
 
-    def _is_lost(self, asked: Member) -> bool:
-        """Whether the asked process can no longer hold the flow or answer."""
-        row = self._view.find(asked.agent)
-        if row is None or row.incarnation != asked.incarnation:
-            return True
-        return not row.is_reachable
-
     def _repeat(self, now: float) -> tuple[Action, ...]:
         self._acceptor.forget(now)
         due = now - self._settings.repeat_s
@@ -274,7 +238,7 @@
 
     def _report(self, event: ReportLoad) -> tuple[Action, ...]:
         self._reports += 1
-        own = self._view.find(self._agent)
+        own = self._members.find(self._agent)
         report = LoadReport(
             self._agent,
             own.incarnation if own else Incarnation(0),
--- a/packages/admission/tests/test_placement.py
+++ b/packages/admission/tests/test_placement.py
@@ -1,6 +1,7 @@
 """Guards against flows placed twice or at members that must not take them."""
 
 import sys
+from collections import deque
 from random import Random
 from typing import Final
 
@@ -27,6 +28,7 @@
 from persimmonreach.membership import Member, MemberState, View, ViewChanged
 
 SERVICE = 7
+ANSWER_DELAY_S: Final = 0.1
 IMBALANCE_BOUND: Final = 1.05
 ZONES = ('x', 'y', 'z')
 
@@ -97,12 +99,12 @@
     machine = placement(0, rows)
     first = asked(machine)
     assert machine.handle(PlaceNew(b'k', b'syn'), 0.1) == (Count('placements_repeated'),)
-    assert machine.handle(Tick(), 0.1) == ()
+    assert not machine.handle(Tick(), 0.1)
     for now in range(1, 50):
         assert machine.handle(Tick(), now) == (first,)
     chosen = first.to.port - 9000
     rows[chosen] = member(chosen, state=MemberState.DRAINING)
-    assert machine.handle(view(*rows), 50) == ()
+    assert not machine.handle(view(*rows), 50)
     rows[chosen] = member(chosen, alive=False)
     assert machine.handle(view(*rows), 51) == (PlacementSettled(b'k', None),)
     late = machine.handle(answer_to(first, Verdict.ACCEPTED), 52)
@@ -207,12 +209,12 @@
     assert send == Send(endpoint(1), LoadReport('a0', 4, 0, 2000, 1))
     newer = Received(endpoint(1), LoadReport('a1', 1, 10, 2000, 2))
     older = Received(endpoint(1), LoadReport('a1', 1, 900, 2000, 1))
-    assert machine.handle(newer, 0) == ()
+    assert not machine.handle(newer, 0)
     assert machine.handle(older, 0) == (Count('load_reports_late'),)
 
 
 class Cluster:
-    """Owners that place flows at once, with load reports that are 1 s old."""
+    """Owners that place flows at once; reports arrive 1 s late, answers 0.1 s."""
 
     def __init__(self, policy, counts: list[int], seed: int) -> None:
         rows = [member(number) for number in range(len(counts))]
@@ -221,19 +223,21 @@
         self.machines = [
             placement(number, rows, policy, seed + number) for number in range(len(rows))
         ]
-        self.now = 0
-        self.peak = 0
+        self.now: float = 0
+        self.late: deque[tuple[float, int, Received]] = deque()
+        self.reports: list[tuple[int, Received]] = []
 
     def report(self) -> None:
+        for target, received in self.reports:
+            self.machines[target].handle(received, self.now)
+        self.reports.clear()
         everyone = tuple(endpoint(number) for number in range(len(self.flows)))
         for number, machine in enumerate(self.machines):
+            count = LocalFlowCount(self.flows[number], 4000, draining=False)
+            machine.handle(count, self.now)
             for send in machine.handle(ReportLoad(everyone), self.now):
-                target = self.machines[send.to.port - 9000]
-                target.handle(Received(endpoint(number), send.message), self.now)
-
-    def count(self) -> None:
-        for machine, flows in zip(self.machines, self.flows, strict=True):
-            machine.handle(LocalFlowCount(flows, 4000, draining=False), self.now)
+                received = Received(endpoint(number), send.message)
+                self.reports.append((send.to.port - 9000, received))
 
     def place(self, key: bytes) -> None:
         owner = self.rng.randrange(len(self.machines))
@@ -242,22 +246,23 @@
             self.flows[owner] += 1
             return
         target = actions[0].to.port - 9000
-        admitted, answer = self.machines[target].handle(
-            Received(endpoint(owner), actions[0].message),
-            self.now,
-        )
+        question = Received(endpoint(owner), actions[0].message)
+        admitted, answer = self.machines[target].handle(question, self.now)
         assert isinstance(admitted, AdmitLocal)
         self.flows[target] += 1
-        self.machines[owner].handle(Received(endpoint(target), answer.message), self.now)
+        received = Received(endpoint(target), answer.message)
+        self.late.append((self.now + ANSWER_DELAY_S, owner, received))
 
     def fill(self, total: int, per_second: int) -> float:
         """Place flows up to ``total`` and return the imbalance."""
-        while sum(self.flows) < total:
-            self.now += 1
-            self.count()
-            self.report()
-            for step in range(min(per_second, total - sum(self.flows))):
-                self.place(b'%d/%d' % (self.now, step))
+        for step in range(total - sum(self.flows)):
+            self.now = step / per_second
+            if step % per_second == 0:
+                self.report()
+            while self.late and self.late[0][0] <= self.now:
+                owner, answer = self.late.popleft()[1:]
+                self.machines[owner].handle(answer, self.now)
+            self.place(b'%d' % step)
         return max(self.flows) * len(self.flows) / sum(self.flows)
 
 
@@ -272,7 +277,7 @@
     """Print and return the largest imbalance of three seeds a scene and rate."""
     measured = {}
     for name, counts in SCENES.items():
-        for per_second in (100, 1000):
+        for per_second in (100, 2000):
             measured[f'{name}, {per_second}/s'] = max(
                 Cluster(policy, counts, seed).fill(7 * 2000, per_second)
                 for seed in (1, 2, 3)
--- a/packages/requests/src/persimmonreach/requests/_lifecycle.py
+++ b/packages/requests/src/persimmonreach/requests/_lifecycle.py
@@ -14,7 +14,6 @@
     Ends,
     Record,
     RecordId,
-    RecordTable,
     RequestState,
     Verdict,
 )
@@ -22,6 +21,7 @@
 from persimmonreach.requests._retry import RetryBudget, RetryTargets
 from persimmonreach.requests._settings import PACKET_COPY_LIFETIME_S, RequestSettings
 from persimmonreach.requests._slots import AttemptId, AttemptSlots
+from persimmonreach.requests._table import RecordTable
 
 REASON_SATURATED: Final = 'saturated'
 
@@ -49,7 +49,11 @@
         limit: ConcurrencyLimit,
         rng: Random,
     ) -> None:
-        self.table = RecordTable(settings.max_records, settings.max_tombstones)
+        self.table = RecordTable(
+            settings.max_records,
+            settings.max_tombstones,
+            settings.max_answer_bytes,
+        )
         self.slots = AttemptSlots(limit)
         self.budget = RetryBudget(settings.retry_budget)
         self.targets = RetryTargets(agent, settings.saturated_s, rng)
--- a/packages/requests/src/persimmonreach/requests/_settings.py
+++ b/packages/requests/src/persimmonreach/requests/_settings.py
@@ -6,6 +6,7 @@
 
 # Longest time that a copy of a packet may spend in the network.
 PACKET_COPY_LIFETIME_S: Final = 10
+_MAX_ANSWER_BYTES: Final = 8388608
 
 
 class RequestSettings(NamedTuple):
@@ -27,6 +28,9 @@
         Requests on record with their answers.
     max_tombstones
         Requests on record without their answers.
+    max_answer_bytes
+        Size of all answers on record, in bytes; a quarter of the 32 MB that an
+        agent may use.
     repeat_s
         Seconds without an outcome after which another agent is asked again.
     cancel_grace_s
@@ -46,6 +50,7 @@
     queue_size: int = 64
     max_records: int = 4096
     max_tombstones: int = 65536
+    max_answer_bytes: int = _MAX_ANSWER_BYTES
     repeat_s: float = 0.3
     cancel_grace_s: float = 1
     saturated_s: float = 1
