Keep placements and request records safe across a pause of the process

A paused process reads messages that waited in its socket. A member that was declared dead meanwhile could admit a flow that its owner has placed elsewhere, and a copy of a request could arrive after its record had expired and run again. PlaceFlow now names the incarnation that was chosen, and a member without an admission lease takes nothing new. Records are kept longer by the length of a pause.

--- a/packages/admission/src/persimmonreach/admission/__init__.py
+++ b/packages/admission/src/persimmonreach/admission/__init__.py
@@ -13,7 +13,8 @@
     ReportLoad,
 )
 from persimmonreach.admission._limit import LimitSettings, SlowStartLimit
-from persimmonreach.admission._placement import Placement, PlacementSettings
+from persimmonreach.admission._pending import PlacementSettings
+from persimmonreach.admission._placement import Placement
 from persimmonreach.admission._policy import (
     Candidate,
     PlacementPolicy,
--- a/packages/admission/src/persimmonreach/admission/_members.py
+++ b/packages/admission/src/persimmonreach/admission/_members.py
@@ -50,6 +50,11 @@
         """Whether the agent's availability zone is out of service."""
         return self._own.zone in self._zones_out
 
+    @property
+    def own_row(self) -> Member | None:
+        """The local agent in the view."""
+        return self._view.find(self._own.agent)
+
     def change_view(self, view: View) -> None:
         """Use the members of a new view."""
         self._view = view
--- a/packages/admission/src/persimmonreach/admission/_placement.py
+++ b/packages/admission/src/persimmonreach/admission/_placement.py
@@ -1,7 +1,7 @@
 """Choice of the backend server that a new flow lives on."""
 
 from random import Random
-from typing import Final, NamedTuple, final
+from typing import Final, final
 
 from persimmonreach.admission._accepting import FlowAcceptor
 from persimmonreach.admission._events import (
@@ -14,7 +14,9 @@
 )
 from persimmonreach.admission._members import MemberId, ServiceMembers
 from persimmonreach.admission._peers import PeerLoads
+from persimmonreach.admission._pending import Pending, PlacementSettings
 from persimmonreach.admission._policy import PlacementPolicy
+from persimmonreach.admission._standing import Standing
 from persimmonreach.admission.messages import (
     LoadReport,
     PlaceAnswer,
@@ -36,39 +38,17 @@
     Tick,
     Zone,
 )
-from persimmonreach.membership import Member, View, ViewChanged
+from persimmonreach.membership import (
+    LeaseLapsed,
+    LeaseRenewed,
+    Member,
+    View,
+    ViewChanged,
+)
 
 # The first choice and one more after a refusal.
 _MAX_CHOICES: Final = 2
 _NUMBER_BITS: Final = 48
-_DEFAULT_CONNECTIONS: Final = 2000
-
-
-class PlacementSettings(NamedTuple):
-    """Settings of placement.
-
-    Attributes
-    ----------
-    connections
-        Flows that one warm backend server bears.
-    repeat_s
-        Seconds without an answer after which the same member is asked again.
-    verdict_lifetime_s
-        Seconds for which an answer is kept for repeated messages; far longer
-        than the 10 s that a copy of a packet may live.
-
-    """
-
-    connections: int = _DEFAULT_CONNECTIONS
-    repeat_s: float = 0.3
-    verdict_lifetime_s: float = 120
-
-
-class _Pending(NamedTuple):
-    member: Member
-    message: PlaceFlow
-    sent_at: float
-    refused: frozenset[AgentId]
 
 
 @final
@@ -76,7 +56,7 @@
     """Places new flows of the agent's buckets, and takes flows of other owners.
 
     Handles PlaceNew, LocalFlowCount, ViewChanged, ConfigurationChanged,
-    PlacedFlowEnded, ReportLoad, Received and Tick.
+    PlacedFlowEnded, LeaseRenewed, LeaseLapsed, ReportLoad, Received and Tick.
 
     Parameters
     ----------
@@ -105,11 +85,12 @@
         self._policy = policy
         self._rng = rng
         self._peers = PeerLoads(settings.connections)
+        self._standing = Standing()
         self._acceptor = FlowAcceptor(settings.connections, settings.verdict_lifetime_s)
         self._members = ServiceMembers(
             MemberId(agent, zone, service), self._acceptor, self._peers
         )
-        self._pending: dict[FlowKey, _Pending] = {}
+        self._pending: dict[FlowKey, Pending] = {}
         # Random, so that a restarted agent does not repeat earlier numbers.
         self._number = rng.getrandbits(_NUMBER_BITS)
         self._reports = 0
@@ -136,6 +117,8 @@
                 self._acceptor.count(event)
             case PlacedFlowEnded():
                 self._acceptor.release(event.key)
+            case LeaseRenewed() | LeaseLapsed():
+                self._standing.note(event)
             case ConfigurationChanged():
                 self._members.change_zones(event.configuration.zones_out)
                 self._acceptor.close(self._members.is_zone_out)
@@ -174,20 +157,30 @@
                 AdmitLocal(flow.key, flow.packet),
                 PlacementSettled(flow.key, self._agent),
             )
-        self._number += 1
-        message = PlaceFlow(
-            self._members.service, flow.key, flow.packet, self._agent, self._number
-        )
         member = self._members.find(chosen.agent)
-        self._pending[flow.key] = _Pending(member, message, now, refused)
+        message = self._question(flow, member)
+        self._pending[flow.key] = Pending(member, message, now, refused)
         self._peers.placed(chosen.agent)
         return (Send(member.endpoint, message),)
 
+    def _question(self, flow: PlaceNew, member: Member) -> PlaceFlow:
+        self._number += 1
+        return PlaceFlow(
+            self._members.service,
+            flow.key,
+            flow.packet,
+            self._agent,
+            self._number,
+            member.incarnation,
+        )
+
     def _asked(self, event: Received, now: float) -> tuple[Action, ...]:
         message: PlaceFlow = event.message
         if message.service != self._members.service:
             return (Count('placements_of_other_service'),)
         is_new = self._acceptor.is_new(message)
+        if is_new and not self._standing.may_take(message.target_incarnation, now):
+            return (Count('placements_without_standing'),)
         verdict = self._acceptor.decide(message, now)
         answer = PlaceAnswer(
             message.key,
@@ -217,6 +210,9 @@
 
     def _change_view(self, view: View) -> tuple[Action, ...]:
         self._members.change_view(view)
+        own = self._members.own_row
+        if own is not None:
+            self._standing.learn(own.incarnation)
         lost = [
             row for row in self._pending.values() if self._members.is_lost(row.member)
         ]
@@ -238,7 +234,7 @@
 
     def _report(self, event: ReportLoad) -> tuple[Action, ...]:
         self._reports += 1
-        own = self._members.find(self._agent)
+        own = self._members.own_row
         report = LoadReport(
             self._agent,
             own.incarnation if own else Incarnation(0),
--- a/packages/admission/src/persimmonreach/admission/messages.py
+++ b/packages/admission/src/persimmonreach/admission/messages.py
@@ -30,6 +30,9 @@
         Agent that asks.
     number
         Number of the choice; the same in each repetition of the message.
+    target_incarnation
+        Incarnation of the receiver that was chosen. Once it is over, the owner
+        may have placed the flow elsewhere.
 
     """
 
@@ -38,6 +41,7 @@
     packet: bytes
     agent: AgentId
     number: int
+    target_incarnation: Incarnation
 
 
 class PlaceAnswer(NamedTuple):
--- a/packages/requests/src/persimmonreach/requests/_machine.py
+++ b/packages/requests/src/persimmonreach/requests/_machine.py
@@ -35,6 +35,8 @@
 _DRAINING: Final = Verdict(Outcome.NOT_RUN, 'draining', 0)
 _ADOPTED: Final = Verdict(Outcome.UNKNOWN, 'agent_restarted', 0)
 _MS_PER_S: Final = 1000
+# Ticks come several times a second; a longer gap is a pause of the process.
+_MAX_GAP_S: Final = 1
 
 
 @final
@@ -43,7 +45,8 @@
 
     Handles RequestArrived, CancelArrived, BackendAnswered, BackendRefused,
     BackendLost, BackendReported, FlowEnded, DrainStarted, ViewChanged,
-    ConfigurationChanged, Received and Tick.
+    ConfigurationChanged, Received and Tick. Ticks must come several times a
+    second.
 
     Parameters
     ----------
@@ -75,6 +78,7 @@
         self._is_draining = False
         self._is_zone_out = False
         self._started_at: float | None = None
+        self._last_event_at: float = 0
 
     @property
     def has_work(self) -> bool:
@@ -90,10 +94,19 @@
         """Return the actions that ``event`` causes."""
         if self._started_at is None:
             self._started_at = now
+            self._last_event_at = now
+        self._note_pause(now)
         self._handle_one(event, now)
         self._requests.start_queued(now)
         return self._requests.take_actions()
 
+    def _note_pause(self, now: float) -> None:
+        """Keep records for copies that waited in the socket during a pause."""
+        gap = now - self._last_event_at
+        self._last_event_at = now
+        if gap > _MAX_GAP_S:
+            self._requests.table.postpone(gap)
+
     def _handle_one(self, event: Event, now: float) -> None:
         match event:
             case RequestArrived():
--- a/packages/requests/src/persimmonreach/requests/_table.py
+++ b/packages/requests/src/persimmonreach/requests/_table.py
@@ -91,6 +91,10 @@
             if not self._drop_oldest_answer():
                 return
 
+    def postpone(self, seconds: float) -> None:
+        """Keep all records longer, after a pause of the process."""
+        self._expiries = [(due + seconds, name) for due, name in self._expiries]
+
     def expire(self, now: float) -> None:
         """Drop finished records of which no copy can arrive any more."""
         while self._expiries and self._expiries[0][0] <= now:
--- a/packages/requests/tests/test_requests.py
+++ b/packages/requests/tests/test_requests.py
@@ -129,12 +129,21 @@
     agent = Agent()
     agent.post(request())
     agent.post(answer())
-    agent.post(Tick(), now=11.9)
-    assert agent.machine.records == 1
+    for now in range(12):
+        assert agent.machine.records == 1
+        agent.post(Tick(), now=now)
     agent.post(Tick(), now=12)
     assert agent.machine.records == 0
 
 
+def test_a_copy_that_waited_in_the_socket_during_a_pause_does_not_run() -> None:
+    agent = Agent()
+    agent.post(request())
+    agent.post(answer())
+    agent.post(Tick(), now=60)
+    assert outcomes(agent.post(request(), now=60.1)) == [b'done']
+
+
 def test_a_long_answer_is_sent_in_parts_that_fit_into_a_packet() -> None:
     agent = Agent()
     agent.post(request())
