--- a/packages/requests/tests/test_requests.py
+++ b/packages/requests/tests/test_requests.py
@@ -370,6 +370,23 @@
     asked(agent.post(refusal(NOT_RUN, 3)))
 
 
+def test_no_retry_past_the_deadline() -> None:
+    agent = Agent(members=2)
+    agent.post(request())
+    actions = agent.post(refusal(NOT_RUN), now=2)
+    assert outcomes(actions) == [NOT_RUN]
+    assert Send not in kinds(actions)
+
+
+def test_a_partial_answer_from_another_agent_proves_a_run() -> None:
+    agent = Agent(members=2)
+    agent.post(request())
+    message = asked(agent.post(refusal(NOT_RUN)))
+    agent.receive(outcome_of(message, Ending.ANSWERED, parts=2, body=b'a'))
+    refused = agent.receive(outcome_of(message, Ending.NOT_RUN))
+    assert outcomes(refused) == [UNKNOWN]
+
+
 def test_retries_stay_within_the_budget() -> None:
     agent = Agent(members=2, queue_size=99)
     retried = 0
