--- a/packages/daemon/src/persimmonreach/daemon/_entry_process.py
+++ b/packages/daemon/src/persimmonreach/daemon/_entry_process.py
@@ -114,12 +114,10 @@
         )
         peers.connect(dict.fromkeys(MEMBERSHIP_TYPES.values(), membership_task))
         peers.connect(dict.fromkeys(CONFIGURATION_TYPES.values(), configuration_task))
-        status = EntryStatusSource(state)
         for task in (peers, membership_task, configuration_task, fabric_task):
             stack.enter_context(task)
         self._publish_figures(state, peers, fabric_task)
-        self._start_endpoints(stack, state, status, configuration_task, fabric, peers)
-        return status
+        return self._start_endpoints(stack, state, configuration_task, fabric, peers)
 
     def _make_state(self, entry: EntryInstance) -> EntryState:
         rng = random.SystemRandom()
@@ -177,11 +175,11 @@
         self,
         stack: ExitStack,
         state: EntryState,
-        status: EntryStatusSource,
         configuration_task: EntryConfigurationTask,
         fabric: UdpFabric,
         peers: PeerTask,
-    ) -> None:
+    ) -> EntryStatusSource:
+        status = EntryStatusSource(state)
         http = HttpEndpoint(self._bind(self._settings.http_port), self._counters, status)
         control = ControlServer(
             EntryOperatorService(state, status, configuration_task),
@@ -197,6 +195,7 @@
             http=http.endpoint.port,
             control=control.endpoint.port,
         )
+        return status
 
     def _bind(self, port: int) -> Endpoint:
         return Endpoint(self._settings.host, port)
--- a/packages/routing/src/persimmonreach/routing/_agent.py
+++ b/packages/routing/src/persimmonreach/routing/_agent.py
@@ -69,7 +69,7 @@
                 DrainRequested: self._on_drain,
                 ConfigurationChanged: self._on_configuration,
                 ViewChanged: self._on_view,
-                ViewConfirmed: self._on_lease,
+                ViewConfirmed: self._on_confirmed,
                 LeaseRenewed: self._on_lease,
                 LeaseLapsed: self._on_lease,
                 ReportLoad: self._on_report_load,
@@ -200,9 +200,13 @@
     def _on_view(self, event: ViewChanged, now: float) -> tuple[Action, ...]:
         return self._broadcast(event, now)
 
-    def _on_lease(self, event: Event, now: float) -> tuple[Action, ...]:
+    def _on_confirmed(self, event: ViewConfirmed, now: float) -> tuple[Action, ...]:
         return self._parts.ownership.handle(event, now)
 
+    def _on_lease(self, event: Event, now: float) -> tuple[Action, ...]:
+        owned = self._parts.ownership.handle(event, now)
+        return owned + self._parts.placement.handle(event, now)
+
     def _on_report_load(self, event: ReportLoad, now: float) -> tuple[Action, ...]:
         return self._parts.placement.handle(event, now)
 
--- a/packages/standins/src/persimmonreach/standins/_script.py
+++ b/packages/standins/src/persimmonreach/standins/_script.py
@@ -178,6 +178,7 @@
             self._deployment.removed_zone,
             self._times['out_at'],
         )
+        self._fleet.write('journals.json', evidence._asdict())
         last_new_flow_at = {row['instance']: row['last_new_flow_at'] for row in journals}[
             self._times['drained']
         ]
