--- a/packages/ownership/src/persimmonreach/ownership/_claims.py
+++ b/packages/ownership/src/persimmonreach/ownership/_claims.py
@@ -74,9 +74,13 @@
         """End the open claim."""
         self._claim = None
 
+    def delay(self, now: float) -> None:
+        """Leave the owners of a former view time to offer their tokens."""
+        self._next_at = max(self._next_at, now + self._peers.settings.claim_delay)
+
     def hurry(self, now: float) -> None:
         """Let the next claim start without a pause."""
-        self._next_at = min(self._next_at, now)
+        self._next_at = now
 
     def tick(self, now: float, yielded_at: Callable[[BucketId], float]) -> list[Any]:
         """Open a claim if one is due, or repeat the open one."""
--- a/packages/ownership/src/persimmonreach/ownership/_handover.py
+++ b/packages/ownership/src/persimmonreach/ownership/_handover.py
@@ -46,6 +46,7 @@
         self._directory = directory
         self._tokens = tokens
         self._flows = flows
+        self._parked: dict[BucketId, Claimant] = {}
         self._requests: dict[BucketId, Claimant] = {}
         self._grants: dict[BucketId, _Grant] = {}
         self._next_offer_at = float('-inf')
@@ -53,6 +54,7 @@
     def drop_all(self) -> None:
         """Forget all requests and grants, because the lease has ended."""
         self._requests.clear()
+        self._parked.clear()
         self._grants.clear()
 
     def request(self, bucket: BucketId, claimant: Claimant) -> list[Any]:
@@ -61,11 +63,23 @@
         if not self._tokens.owns(bucket) or expected is None:
             return []
         if expected.agent != claimant.agent:
+            self._parked[bucket] = claimant
             return []
         self._requests[bucket] = claimant
         self._tokens.suspend(bucket)
         return self._try_grant(bucket, claimant.received_at)
 
+    def change_members(self, now: float) -> list[Any]:
+        """Satisfy open claims that only the new view agrees with, and offer."""
+        parked = tuple(self._parked.items())
+        self._parked.clear()
+        actions: list[Any] = []
+        for bucket, claimant in parked:
+            if now < claimant.received_at + self._peers.settings.claim_lifetime:
+                actions.extend(self.request(bucket, claimant))
+        self._next_offer_at = now
+        return [*actions, *self.tick(now)]
+
     def answered(self, message: GrantAccepted | GrantRefused) -> list[Any]:
         """Handle the claimant's answer to a grant."""
         grant = self._grants.get(message.bucket)
--- a/packages/ownership/src/persimmonreach/ownership/_machine.py
+++ b/packages/ownership/src/persimmonreach/ownership/_machine.py
@@ -222,5 +222,5 @@
                 for bucket in range(BUCKETS_PER_SERVICE)
                 for key in self._flows.keys_in(BucketId(bucket))
             ]
-        self._parts.claims.hurry(now)
-        return [*actions, *self._parts.handover.tick(now), *self._claim(now)]
+        self._parts.claims.delay(now)
+        return [*actions, *self._parts.handover.change_members(now)]
--- a/packages/ownership/src/persimmonreach/ownership/_records.py
+++ b/packages/ownership/src/persimmonreach/ownership/_records.py
@@ -105,7 +105,7 @@
         self._announced.pop(message.key, None)
         if message.holder == self._peers.agent or not self._flows.holds(message.key):
             return []
-        return [EndLocalFlow(message.key, 'conflict'), Count('flow_conflicts')]
+        return [EndLocalFlow(message.key, 'conflict')]
 
     def leave_zones(self) -> list[Any]:
         """Remove flows whose holder is in a zone that is out of service."""
--- a/packages/ownership/src/persimmonreach/ownership/_settings.py
+++ b/packages/ownership/src/persimmonreach/ownership/_settings.py
@@ -19,6 +19,10 @@
         ``claim_lifetime``, so that the claimant can no longer accept it.
     retry_interval
         Time between two transmissions of a message.
+    claim_delay
+        Time between a new view and a claim that no owner asked for. A claim
+        that reaches an owner with an older view is not granted, and until
+        the next one other members refuse that owner's placements.
     claim_pause
         Largest random pause before the next claim.
     placement_limit
@@ -62,6 +66,7 @@
     claim_block: float = 3.0
     grant_lifetime: float = 3.0
     retry_interval: float = 0.5
+    claim_delay: float = 0.5
     claim_pause: float = 0.3
     placement_limit: float = 5.0
     copy_lifetime: float = 10.0
