Test that answered claims block claims and late placements

No test covered the block after an answered claim or the refusal of a former owner's placement. Messages in the test network now pass the wire codec. Zones are healed after paused agents have woken, since an older configuration could otherwise overtake the newer one in the test network.

--- a/packages/ownership/src/persimmonreach/ownership/_records.py
+++ b/packages/ownership/src/persimmonreach/ownership/_records.py
@@ -156,6 +156,9 @@
         if recorded in {None, flow.holder}:
             self._record(flow)
             return []
+        # The recorded flow stays if the caller has sent more than the first
+        # packet through this owner, or if it is local: its packets do not
+        # pass the directory. An announced flow is open at its backend server.
         if self._directory.is_established(flow.key):
             return self._conflict(flow.holder, flow.key, recorded)
         self._record(flow)
--- a/packages/ownership/tests/conftest.py
+++ b/packages/ownership/tests/conftest.py
@@ -192,11 +192,12 @@
     def transmit(self, node, send):
         target = self.nodes[send.to.host]
         delay = self.delay * (1 + self.rng.random())
-        event = core.Received(node.row.endpoint, send.message)
         if isinstance(send.message, ForwardedPacket):
             event = arrived(send.message.packet, send.message.hops)
         else:
-            assert len(CODEC.encode(send.message)) <= 1400
+            datagram = CODEC.encode(send.message)
+            assert len(datagram) <= 1400
+            event = core.Received(node.row.endpoint, CODEC.decode(datagram))
             late = self.rng.random() < self.loss
             delay += self.delay_of[type(send.message)] + late * self.rng.random() * 3
         if node.cut == target.cut and self.rng.random() >= self.loss:
--- a/packages/ownership/tests/test_ownership_changes.py
+++ b/packages/ownership/tests/test_ownership_changes.py
@@ -3,9 +3,9 @@
 import pytest
 
 from persimmonreach import ownership as own
-from persimmonreach.core import BUCKETS_PER_SERVICE, bucket_of
+from persimmonreach.core import BUCKETS_PER_SERVICE, Received, bucket_of
 from persimmonreach.membership import MemberState
-from persimmonreach.ownership.messages import GrantBucket
+from persimmonreach.ownership.messages import ClaimBuckets, GrantBucket, Sender
 
 QUIET_S = 15  # Longer than the adoption grace, so that a reset is possible.
 
@@ -244,3 +244,35 @@
     net.run(5)
     assert len(many) > 250
     assert len(net.owned()) == BUCKETS_PER_SERVICE
+
+
+@pytest.mark.parametrize(('block', 'is_owned'), [(3, False), (0, True)])
+def test_answered_claim_blocks_own_claims(world, block, is_owned):
+    net = world(settings=own.OwnershipSettings(claim_block=block))
+    net.run(2.8)
+    node = net.nodes['agent-0']
+    bucket = next(
+        bucket
+        for bucket in range(BUCKETS_PER_SERVICE)
+        if node.view.expected_owner(bucket, ()).agent == 'agent-0'
+    )
+    claim = ClaimBuckets(Sender('agent-1', 99, 7), 1, (bucket,))
+    net.at(0, node, Received(net.nodes['agent-1'].row.endpoint, claim))
+    net.run(2)
+    assert (bucket in node.machine.owned) is is_owned
+    net.run_until_owned()
+
+
+def test_placement_of_a_former_owner_is_refused_after_a_claim(net):
+    key = keys(1)[0]
+    bucket = bucket_of(key)
+    owner = net.owned()[bucket]
+    node = next(peer for peer in net.nodes.values() if peer is not owner)
+    claim = ClaimBuckets(Sender('agent-9', 4, 7), 1, (bucket,))
+    net.at(0, node, Received(owner.row.endpoint, claim))
+    net.step()
+    former = (owner.row.agent, owner.row.incarnation)
+    assert not node.machine.accepts_placement(key, former, net.now)
+    assert node.machine.accepts_placement(key, ('agent-9', 4), net.now)
+    assert not node.machine.accepts_placement(key, ('agent-9', 3), net.now)
+    assert node.machine.accepts_placement(key, former, net.now + 10)
--- a/packages/ownership/tests/test_ownership_faults.py
+++ b/packages/ownership/tests/test_ownership_faults.py
@@ -61,10 +61,11 @@
 
 def heal(net):
     net.loss = 0
-    net.set_zones_out()
     for name, node in net.nodes.items():
         while not node.is_well or node.row.state is MemberState.DRAINING:
             fault(net, random.Random(0), name)
+    net.run(1)
+    net.set_zones_out()
 
 
 def run_faults(world, seed, options=None):
