--- a/packages/membership/src/persimmonreach/membership/_agent.py
+++ b/packages/membership/src/persimmonreach/membership/_agent.py
@@ -33,13 +33,11 @@
     LeaseLapsed,
     LeaseRenewed,
     Member,
+    View,
     ViewChanged,
-    ViewConfirmed,
 )
 from persimmonreach.membership.messages import (
     EntryList,
-    EntryListRequest,
-    Heartbeat,
     HeartbeatAck,
     ServiceView,
 )
@@ -101,9 +99,9 @@
         return self._lease.valid_until
 
     @property
-    def view(self) -> ViewChanged:
+    def view(self) -> View:
         """Present view of the service."""
-        return ViewChanged(self._table.view)
+        return self._table.view
 
     @property
     def is_announced(self) -> bool:
@@ -117,16 +115,15 @@
         self._registrars.expire(now)
         actions = self._check_lease(now)
         if isinstance(event, Tick):
-            return (*actions, *self._beat_if_due(now))
+            is_due = now >= self._progress.next_heartbeat
+            return (*actions, *self._beat(now)) if is_due else actions
         if isinstance(event, FlowsCounted):
             self._progress.flows = event
             return actions
+        sender = event.sender if isinstance(event, Received) else None
         content = event.message if isinstance(event, Received) else event
         react: Any = self._handlers.get(type(content))
-        if react is None:
-            return actions
-        sender = event.sender if isinstance(event, Received) else None
-        return (*actions, *react(content, sender, now))
+        return (*actions, *react(content, sender, now)) if react else actions
 
     def _check_lease(self, now: float) -> tuple[Action, ...]:
         ends_at = self._lease.valid_until
@@ -141,11 +138,6 @@
         lapsed = LeaseLapsed(self.member.incarnation)
         return (lapsed, *self._view_actions(), *self._beat(now))
 
-    def _beat_if_due(self, now: float) -> tuple[Action, ...]:
-        if now < self._progress.next_heartbeat:
-            return ()
-        return self._beat(now)
-
     def _beat(self, now: float) -> tuple[Action, ...]:
         progress = self._progress
         progress.next_heartbeat = now + self._settings.heartbeat_s
@@ -153,13 +145,9 @@
             return ()
         progress.sequence += 1
         self._lease.note_sent(progress.sequence, now)
-        heartbeat = Heartbeat(
+        heartbeat = progress.heartbeat(
             self.member,
-            progress.sequence,
-            progress.flows.flows,
-            progress.flows.limit,
             self._table.view.digest,
-            progress.config_version,
             self._registrars.present.version,
         )
         registrars = self._registrars.everyone(self.member.service)
@@ -168,13 +156,10 @@
         return (*sends, *self._ask_for_list(now), load)
 
     def _ask_for_list(self, now: float) -> tuple[Action, ...]:
-        entries = self._registrars.present.entries
-        if entries and now - self._progress.heard_at < self._settings.fence_s:
+        is_silent = now - self._progress.heard_at >= self._settings.fence_s
+        if self._registrars.present.entries and not is_silent:
             return ()
-        candidates = [*self._seeds, *(entry.endpoint for entry in entries)]
-        if not candidates:
-            return ()
-        return (Send(self._rng.choice(candidates), EntryListRequest()),)
+        return self._lists.ask_any(self._seeds, self._rng)
 
     def _adopt(
         self,
@@ -242,13 +227,8 @@
         return (*actions, *self._confirm())
 
     def _confirm(self) -> tuple[Action, ...]:
-        digest = self._table.view.digest
-        sent_at = self._lease.confirmed_at(digest)
-        last = self._progress.confirmed
-        if sent_at is None or (digest == last.digest and sent_at <= last.sent_at):
-            return ()
-        self._progress.confirmed = ViewConfirmed(digest, sent_at)
-        return (self._progress.confirmed,)
+        confirmed = self._lease.confirm(self._table.view.digest)
+        return (confirmed,) if confirmed else ()
 
     def _meet_newer(self, incarnation: int, now: float) -> tuple[Action, ...]:
         if not self._progress.had_lease:
@@ -275,4 +255,4 @@
         return (*actions, *self._confirm())
 
     def _view_actions(self) -> tuple[Action, ...]:
-        return (self.view,) if self._table.take_changed() else ()
+        return (ViewChanged(self.view),) if self._table.take_changed() else ()
--- a/packages/membership/src/persimmonreach/membership/_lease.py
+++ b/packages/membership/src/persimmonreach/membership/_lease.py
@@ -4,6 +4,7 @@
 
 from persimmonreach.core import EntryId, ServiceId
 from persimmonreach.membership._registrars import RegistrarSets
+from persimmonreach.membership._view import ViewConfirmed
 from persimmonreach.membership.messages import HeartbeatAck
 
 
@@ -39,6 +40,7 @@
         self._granted: dict[EntryId, float] = {}
         self._confirmed: dict[EntryId, _Confirmation] = {}
         self._valid_until: float | None = None
+        self._last: ViewConfirmed | None = None
 
     @property
     def valid_until(self) -> float | None:
@@ -65,14 +67,21 @@
         self._valid_until = oldest + self._lease_s
         return True
 
-    def confirmed_at(self, digest: int) -> float | None:
-        """Return when the heartbeats that confirmed ``digest`` were sent."""
+    def confirm(self, digest: int) -> ViewConfirmed | None:
+        """Return the confirmation of a view if it is newer than the last."""
         times = {
             entry: confirmation.sent_at
             for entry, confirmation in self._confirmed.items()
             if confirmation.digest == digest
         }
-        return self._registrars.majority_time(self._service, times)
+        sent_at = self._registrars.majority_time(self._service, times)
+        last = self._last
+        if sent_at is None or (
+            last and digest == last.digest and sent_at <= last.sent_at
+        ):
+            return None
+        self._last = ViewConfirmed(digest, sent_at)
+        return self._last
 
     def drop(self) -> None:
         """Forget all acknowledgements, for a new incarnation."""
--- a/packages/membership/src/persimmonreach/membership/_lists.py
+++ b/packages/membership/src/persimmonreach/membership/_lists.py
@@ -1,5 +1,8 @@
 """Following the list of entry instances by messages."""
 
+import random
+from collections.abc import Sequence
+
 from persimmonreach.configuration import EntriesChanged
 from persimmonreach.core import Action, Endpoint, Send
 from persimmonreach.membership._chunks import Assembler
@@ -27,6 +30,18 @@
             return ()
         return (Send(sender, EntryListRequest()),)
 
+    def ask_any(
+        self,
+        seeds: Sequence[Endpoint],
+        rng: random.Random,
+    ) -> tuple[Action, ...]:
+        """Ask a seed or a listed entry instance for its list."""
+        listed = (entry.endpoint for entry in self._registrars.present.entries)
+        candidates = [*seeds, *listed]
+        if not candidates:
+            return ()
+        return (Send(rng.choice(candidates), EntryListRequest()),)
+
     def collect(self, message: EntryList, now: float) -> EntriesChanged | None:
         """Take in a part; return the list if it came into force."""
         entries = self._parts.add(
--- a/packages/membership/src/persimmonreach/membership/_progress.py
+++ b/packages/membership/src/persimmonreach/membership/_progress.py
@@ -1,7 +1,8 @@
 """State that the membership machines carry from event to event."""
 
 from persimmonreach.membership._events import FlowsCounted
-from persimmonreach.membership._view import ViewConfirmed
+from persimmonreach.membership._view import Member
+from persimmonreach.membership.messages import Heartbeat
 
 
 class AgentProgress:
@@ -15,9 +16,20 @@
         self.heard_at = float(0)
         self.had_lease = False
         self.replaced = False
-        self.confirmed = ViewConfirmed(0, -1)
         self.flows = FlowsCounted(0, 0)
 
+    def heartbeat(self, member: Member, digest: int, entries_version: int) -> Heartbeat:
+        """Return the heartbeat with the present sequence number."""
+        return Heartbeat(
+            member,
+            self.sequence,
+            self.flows.flows,
+            self.flows.limit,
+            digest,
+            self.config_version,
+            entries_version,
+        )
+
 
 class EntryProgress:
     """Due times of an entry instance and its configuration version."""
--- a/packages/membership/tests/conftest.py
+++ b/packages/membership/tests/conftest.py
@@ -124,7 +124,7 @@
                     self.rows_seen[name, member.agent] = order
                     self._check_lease(member)
             else:
-                view = node.view.view
+                view = node.view
             assert views.setdefault(view.digest, view.members) == view.members
 
     def _check_lease(self, member):
--- a/packages/membership/tests/test_faults.py
+++ b/packages/membership/tests/test_faults.py
@@ -141,7 +141,7 @@
     cluster.kill('a0')
     cluster.run(60)
     assert cluster.nodes[cut[0]].view(SERVICE).find('a0').alive
-    seen = cluster.nodes['a1'].view.view
+    seen = cluster.nodes['a1'].view
     assert seen.find('a0') is None
     cluster.cut = set()
     cluster.run(10)
@@ -235,7 +235,7 @@
     assert cluster.nodes['a1'].is_announced
     for name in cluster.nodes:
         node = cluster.nodes[name]
-        view = node.view(SERVICE) if name[0] == 'e' else node.view.view
+        view = node.view(SERVICE) if name[0] == 'e' else node.view
         assert view.find('a1').state is MemberState.DRAINING
     assert actions_of(cluster, ViewChanged, 'e3')
     assert len(actions_of(cluster, ReportLoad, 'a0')[-1].endpoints) == 3
--- a/packages/membership/tests/test_invariants.py
+++ b/packages/membership/tests/test_invariants.py
@@ -53,7 +53,7 @@
     view = entries[0].view(7)
     for name, node in cluster.nodes.items():
         if name.startswith('a'):
-            assert node.view.view == view
+            assert node.view == view
             assert view.find(name).is_eligible
             assert node.valid_until > cluster.now + cluster.offsets[name]
 
