Check transferred configurations against the peer's digest

Two peers may split the same delta into different chunks, so chunks of a peer that was given up could be mixed with those of another and leave a copy that differs at the same version for good. Transfers now accept chunks only of the peer that was asked and compare the result with its digest; on a difference the next transfer brings the whole configuration. Audit summaries are cut to ten lines, so that a trail of 1,000 records stays at about 1 MB. The commands refuse unknown output formats and JSON output that would have to ask for consent.

--- a/packages/cli/src/persimmonreach/cli/_base.py
+++ b/packages/cli/src/persimmonreach/cli/_base.py
@@ -71,7 +71,7 @@
     def handle(self) -> int:
         """Run the command and show its report."""
         try:
-            report = self._run()
+            report = self._checked_run()
         except FindingsError as error:
             report = report_findings(error)
         except StoreError as error:
@@ -83,6 +83,12 @@
     def _is_json(self) -> bool:
         return self.option('output') == 'json'
 
+    def _checked_run(self) -> Report:
+        output = self.option('output')
+        if output not in {'text', 'json'}:
+            _raise_option('--output', f'"{output}" is not known', 'text or json')
+        return self._run()
+
     @abstractmethod
     def _run(self) -> Report:
         """Return the result."""
@@ -148,6 +154,8 @@
         if not self._is_json:
             for line in plan.difference:
                 self.line(line)
+        if ask and self._is_json:
+            _raise_option('--output', 'json cannot ask for consent', '--yes as well')
         if ask and not self.confirm('Publish this change?', False):
             return CANCELLED
         outcome = publisher.publish(plan)
--- a/packages/cli/tests/test_cli.py
+++ b/packages/cli/tests/test_cli.py
@@ -79,6 +79,8 @@
     assert cli.publish() == 2
     assert cli.run(f'publish {cli.directory} --yes --store nowhere') == 2
     assert cli.run(f'availability-zone out q {STORE}') == 2
+    assert cli.run(f'check {cli.directory} --output xml') == 2
+    assert cli.publish('--output json') == 2
     assert cli.store.writes == 0
 
 
--- a/packages/configuration/src/persimmonreach/configuration/_audit.py
+++ b/packages/configuration/src/persimmonreach/configuration/_audit.py
@@ -10,6 +10,8 @@
 AUDIT_PREFIX: Final = 'audit/'
 # One day of changes at full size; the oldest records are deleted first.
 AUDIT_RECORDS_KEPT: Final = 1000
+# Keeps the whole trail at about 1 MB, so that it can be listed in one call.
+_SUMMARY_LINES: Final = 10
 _VERSION_DIGITS: Final = 10
 
 
@@ -37,7 +39,7 @@
     to_version
         Version the change makes.
     summary
-        The difference, one line a part.
+        The first lines of the difference.
     result
         What became of it.
 
@@ -58,6 +60,14 @@
         return f'{AUDIT_PREFIX}{version}/{self.publish}'
 
 
+def summarize(difference: tuple[str, ...]) -> tuple[str, ...]:
+    """Return the first lines of a difference, and how many follow."""
+    more = len(difference) - _SUMMARY_LINES
+    if more <= 0:
+        return difference
+    return (*difference[:_SUMMARY_LINES], f'and {more} more')
+
+
 def encode_record(record: AuditRecord) -> str:
     """Return the value for the store."""
     return json.dumps(record._asdict())
--- a/packages/configuration/src/persimmonreach/configuration/_entries.py
+++ b/packages/configuration/src/persimmonreach/configuration/_entries.py
@@ -8,8 +8,8 @@
 from persimmonreach.configuration._model import EntriesChanged, EntryInstance
 from persimmonreach.configuration._replication import VersionedTable
 from persimmonreach.configuration._transfer import Puller, serve_entries
-from persimmonreach.configuration.messages import EntriesPull, EntriesPush
-from persimmonreach.core import Action, Endpoint, EntryId, Send
+from persimmonreach.configuration.messages import EntriesPull
+from persimmonreach.core import Action, Endpoint, EntryId, Received, Send
 
 # Two readers survive the loss of one without a gap.
 READERS_PER_ZONE: Final = 2
@@ -107,9 +107,9 @@
         pushes = serve_entries(self._table, pull)
         return tuple(Send(peer, push) for push in pushes)
 
-    def pushed(self, push: EntriesPush, now: float) -> tuple[Action, ...]:
+    def pushed(self, event: Received, now: float) -> tuple[Action, ...]:
         """Take over a complete newer list."""
-        done, actions = self._puller.accept(push, self.version, now)
+        done, actions = self._puller.accept(event, self.version, now)
         if done is None or done.version <= self.version:
             return actions
         self._is_unproven = False
--- a/packages/configuration/src/persimmonreach/configuration/_entry.py
+++ b/packages/configuration/src/persimmonreach/configuration/_entry.py
@@ -182,11 +182,11 @@
         return self._sync.answer(event.sender, event.message, now)
 
     def _on_push(self, event: Received, now: float) -> tuple[Action, ...]:
-        changed, actions = self._sync.pushed(event.message, now)
+        changed, actions = self._sync.pushed(event, now)
         return actions + self._announce(now) if changed else actions
 
     def _on_entries_push(self, event: Received, now: float) -> tuple[Action, ...]:
-        actions = self._entries.pushed(event.message, now)
+        actions = self._entries.pushed(event, now)
         if any(isinstance(action, EntriesChanged) for action in actions):
             return actions + self._spread(FANOUT, now)
         return actions
--- a/packages/configuration/src/persimmonreach/configuration/_publisher.py
+++ b/packages/configuration/src/persimmonreach/configuration/_publisher.py
@@ -9,6 +9,7 @@
     AuditResult,
     encode_record,
     finish_record,
+    summarize,
 )
 from persimmonreach.configuration._declarations import Declarations
 from persimmonreach.configuration._head import (
@@ -229,7 +230,7 @@
             self._timing.wall_ms(),
             plan.base.head.version,
             plan.head.version,
-            plan.difference,
+            summarize(plan.difference),
         )
 
     def _write_once(self, key: str, value: str, deadline: float) -> None:
--- a/packages/configuration/src/persimmonreach/configuration/_registration.py
+++ b/packages/configuration/src/persimmonreach/configuration/_registration.py
@@ -84,7 +84,7 @@
     """
     try:
         zone, host, port = json.loads(row.value)
-    except ValueError as error:
+    except (ValueError, TypeError) as error:
         raise StoreContentError(f'{row.key} is malformed') from error
     entry = EntryId(row.key.removeprefix(ENTRIES_PREFIX))
     return EntryInstance(entry, Zone(zone), Endpoint(host, port))
--- a/packages/configuration/src/persimmonreach/configuration/_replica.py
+++ b/packages/configuration/src/persimmonreach/configuration/_replica.py
@@ -79,6 +79,12 @@
             return False
         return self._take(head.version, head.zones, Delta(0, (), services))
 
+    def fits(self, done: Transferred) -> bool:
+        """Whether a transfer leads to the content that the peer has."""
+        first: ConfigPush = done.pushes[0]
+        rows = self._table.preview(done.delta)
+        return Snapshot(done.version, rows, first.zones).digest == first.digest
+
     def apply(self, done: Transferred) -> bool:
         """Take over a transfer from a peer; return whether it is news."""
         fits = done.delta.since in {0, self.version}
@@ -106,7 +112,7 @@
 
     def serve(self, pull: ConfigPull) -> list[ConfigPush]:
         """Return the chunks that answer a peer."""
-        return serve_config(self._table, self._head_zones, pull)
+        return serve_config(self._table, self._head_zones, self._digest, pull)
 
     def _take(self, version: int, zones: tuple[ZoneState, ...], delta: Delta) -> bool:
         self._table.apply(version, delta)
--- a/packages/configuration/src/persimmonreach/configuration/_replication.py
+++ b/packages/configuration/src/persimmonreach/configuration/_replication.py
@@ -78,6 +78,14 @@
         else:
             self.load(version, delta.rows)
 
+    def preview(self, delta: Delta) -> tuple[Any, ...]:
+        """Return the rows after a delta, ordered by key."""
+        rows = dict(self._rows) if delta.since else {}
+        for gone in delta.removed:
+            rows.pop(gone, None)
+        rows.update((self._key_of(row), row) for row in delta.rows)
+        return tuple(rows[key] for key in sorted(rows))
+
     def delta(self, since: int) -> Delta:
         """Return the changes after ``since``, or all if it is too long ago."""
         if since < self._complete_since or not since:
--- a/packages/configuration/src/persimmonreach/configuration/_sync.py
+++ b/packages/configuration/src/persimmonreach/configuration/_sync.py
@@ -10,11 +10,10 @@
 from persimmonreach.configuration.messages import (
     ConfigOffer,
     ConfigPull,
-    ConfigPush,
     ServicePull,
     ServicePush,
 )
-from persimmonreach.core import Action, Count, Endpoint, Send
+from persimmonreach.core import Action, Count, Endpoint, Received, Send
 
 # Readers repeat an absorption that lost a race or found the store down.
 ABSORB_RETRY_S: Final = 2
@@ -37,12 +36,17 @@
         # Confirmation of the version that is being pulled.
         self._offered = Confirmation()
         self._absorb_at: float = 0
+        self._pulls_all = False
 
     @property
     def confirmation(self) -> Confirmation:
         """Time at which the version in force was confirmed."""
         return self._confirmation
 
+    @property
+    def _since(self) -> int:
+        return 0 if self._pulls_all else self._replica.version
+
     def read(self, event: StoreRead, now: float) -> bool:
         """Take over what the store holds; return whether it is news."""
         if event.head is None:
@@ -73,7 +77,7 @@
         present = self._replica.version
         if self._replica.accepts(offer.version):
             self._offered.improve(offer.age_ms, now)
-            return self._puller.offer(peer, offer.version, present, now)
+            return self._puller.offer(peer, offer.version, self._since, now)
         if offer.version != present:
             return ()
         if offer.digest != self._replica.digest:
@@ -99,18 +103,25 @@
         )
         return (Send(peer, push),)
 
-    def pushed(self, push: ConfigPush, now: float) -> tuple[bool, tuple[Action, ...]]:
-        """Keep a chunk; return whether a newer version is complete."""
-        done, actions = self._puller.accept(push, self._replica.version, now)
-        if done is None or not self._replica.apply(done):
+    def pushed(self, event: Received, now: float) -> tuple[bool, tuple[Action, ...]]:
+        """Keep a chunk; return whether a newer version is in force."""
+        done, actions = self._puller.accept(event, self._since, now)
+        if done is None:
+            return False, actions
+        if not self._replica.fits(done):
+            # The copies have diverged: the next transfer brings the whole.
+            self._pulls_all = True
+            return False, (Count('configuration_digest_mismatches'),)
+        if not self._replica.apply(done):
             return False, actions
+        self._pulls_all = False
         self._confirmation = self._offered
         self._offered = Confirmation()
         return True, actions
 
     def tick(self, now: float) -> tuple[Action, ...]:
         """Ask again for lost chunks."""
-        return self._puller.tick(self._replica.version, now)
+        return self._puller.tick(self._since, now)
 
     def absorb(self, random: Random, now: float) -> tuple[Action, ...]:
         """Ask for overrides to be written into the head."""
--- a/packages/configuration/src/persimmonreach/configuration/_transfer.py
+++ b/packages/configuration/src/persimmonreach/configuration/_transfer.py
@@ -17,7 +17,7 @@
     EntriesPull,
     EntriesPush,
 )
-from persimmonreach.core import Endpoint, Send
+from persimmonreach.core import Endpoint, Received, Send
 
 # Fixed part of an encoded row: numbers at their widest and the array header.
 _SERVICE_ROW_BYTES = 72
@@ -66,13 +66,20 @@
 
     def accept(
         self,
-        push: Push,
+        event: Received,
         since: int,
         now: float,
     ) -> tuple[Transferred | None, tuple[Send, ...]]:
-        """Keep a chunk; return the transfer once it is complete."""
+        """Keep a chunk; return the transfer once it is complete.
+
+        Peers split the same delta in different ways, so chunks of another peer
+        than the one asked are dropped.
+        """
         assembly = self._assembly
-        if assembly is None or push.since not in {0, since}:
+        push: Push = event.message
+        if assembly is None or event.sender != self._peer:
+            return None, ()
+        if push.since not in {0, since}:
             return None, ()
         assembly.add(push, now)
         if assembly.is_complete:
@@ -114,6 +121,7 @@
 def serve_config(
     table: VersionedTable,
     zones: tuple[ZoneState, ...],
+    digest: int,
     pull: ConfigPull,
 ) -> list[ConfigPush]:
     """Return the chunks that answer ``pull``."""
@@ -125,6 +133,7 @@
             delta.since,
             number,
             len(chunks),
+            digest,
             () if number else zones,
             *chunks[number],
         )
--- a/packages/configuration/src/persimmonreach/configuration/messages.py
+++ b/packages/configuration/src/persimmonreach/configuration/messages.py
@@ -66,6 +66,8 @@
         Number of this chunk, from 0.
     chunks
         Count of all chunks.
+    digest
+        Hash of the configuration of ``version``.
     zones
         All zones of the head; only in chunk 0.
     removed
@@ -79,6 +81,7 @@
     since: int
     chunk: int
     chunks: int
+    digest: int
     zones: tuple[ZoneState, ...]
     removed: tuple[ServiceId, ...]
     rows: tuple[ServiceConfig, ...]
--- a/packages/configuration/tests/test_publisher.py
+++ b/packages/configuration/tests/test_publisher.py
@@ -1,5 +1,6 @@
 """Guards against publishes that are lost, half in force, misreported or overwritten."""
 
+from contextlib import suppress
 from random import Random
 
 import pytest
@@ -9,6 +10,7 @@
 from persimmonreach.configuration import (
     Accepted,
     AuditResult,
+    CompareFailedError,
     Declarations,
     Plan,
     Publisher,
@@ -17,6 +19,8 @@
     ServiceConfig,
     StoreError,
     StoreUnavailableError,
+    StoreUncertainError,
+    StoreValue,
     Timing,
     Unsettled,
     encode_head,
@@ -175,6 +179,49 @@
     assert stale_reads
 
 
+class _LateStore(FakeStore):
+    """Store that takes the first write of the head after ``delay`` more calls."""
+
+    def __init__(self, clock: ManualClock, state: StoreState, delay: int) -> None:
+        super().__init__(clock, state)
+        self.delay = delay
+        self.late = None
+
+    def put(self, key: str, value: str, expected: int, lease: int = 0) -> int:
+        if key == 'head' and self.late is None:
+            self.late = (key, value, expected)
+            raise StoreUncertainError('no answer in time')
+        return super().put(key, value, expected, lease)
+
+    def _enter(self, operation: str) -> None:
+        if self.late:
+            self.delay -= 1
+        if self.delay == 0 and self.late:
+            with suppress(CompareFailedError):
+                self._state.put(StoreValue(*self.late), 0, 1)
+        super()._enter(operation)
+
+
+@pytest.mark.parametrize('races', [False, True])
+@pytest.mark.parametrize('delay', range(1, 8))
+def test_write_that_takes_effect_late_is_settled_once(delay: int, races: bool) -> None:
+    world = _World()
+    world.store = _LateStore(world.clock, world.state, delay)
+    world.publisher = _publisher(world.store, world.clock)
+    plan = world.publisher.plan(_declare('x', slots=5))
+    if races:
+        other = _publisher(world.observer, world.clock, seed=2)
+        other.publish(other.plan(_declare('x', slots=7)))
+    outcome = world.publisher.publish(plan)
+    world.publisher.plan(_declare('x'))
+    if races:
+        assert outcome == Rejected(1)
+        assert world.in_force() == {'x': 7}
+    else:
+        assert outcome == Accepted(1)
+        assert world.in_force() == {'x': 5}
+
+
 def test_unsuccessful_publish_of_a_stale_plan_changes_nothing_in_force() -> None:
     world = _World()
     plan: Plan = world.publisher.plan(_declare('x', slots=9))
--- a/packages/configuration/tests/test_spread.py
+++ b/packages/configuration/tests/test_spread.py
@@ -31,6 +31,7 @@
     VersionOffered,
     read_base,
 )
+from persimmonreach.configuration._head import Snapshot
 from persimmonreach.configuration.messages import ConfigPush, EntriesPush, ServicePush
 from persimmonreach.core import (
     Endpoint,
@@ -349,7 +350,7 @@
     agent.handle(Received(behind, ServicePush(4, 0, (), None)), 3)
     assert agent.configuration.services == (service,)
     assert agent.age(3) == pytest.approx(1.5)
-    assert agent.handle(VersionOffered(5, behind), 4) == ()
+    assert not agent.handle(VersionOffered(5, behind), 4)
 
 
 def test_confirmation_ages_while_the_store_is_silent() -> None:
@@ -376,12 +377,43 @@
         offer = (
             net.nodes[peer]._offer(0)._replace(version=version, entries_version=version)
         )
+        digest = Snapshot(version).digest
+        push = ConfigPush(version, since, 0, 1, digest, (), (), ())
         net.post(endpoint, Received(peer, offer))
-        net.post(endpoint, Received(peer, ConfigPush(version, since, 0, 1, (), (), ())))
+        net.post(endpoint, Received(peer, push))
         net.post(endpoint, Received(peer, EntriesPush(version, since, 0, 1, (), ())))
     assert not net.went_down
 
 
+def test_diverged_copy_is_replaced_by_the_whole_configuration() -> None:
+    net = _Net(2)
+    net.publish(1)
+    _settled(net)
+    peer, endpoint = (row.endpoint for row in net.instances)
+    table = net.nodes[endpoint]._replica._table
+    table._rows.popitem()
+    net.set_outage(True)
+    publisher = net.publisher(FakeStore(net.clock, net.store.state))
+    publisher.publish(publisher.plan(_declare(1, count=4)))
+    base = read_base(FakeStore(net.clock, net.store.state))
+    net.post(peer, StoreRead(base.head, base.services, net.listed, 1))
+    net.seconds_until(lambda item: len(item.services) == 4, limit=12)
+
+
+def test_chunks_of_another_peer_are_not_mixed_in() -> None:
+    net = _Net(3)
+    asked, other, endpoint = (row.endpoint for row in net.instances)
+    node = net.nodes[endpoint]
+    offer = net.nodes[asked]._offer(0)._replace(version=3)
+    node.handle(Received(asked, offer), 1)
+    digest = Snapshot(3).digest
+    push = ConfigPush(3, 0, 0, 1, digest, (), (), ())
+    node.handle(Received(other, push), 1)
+    assert not node.configuration.version
+    node.handle(Received(asked, push), 1)
+    assert node.configuration.version == 3
+
+
 def test_first_list_of_an_instance_is_announced_with_its_version() -> None:
     net = _Net(3)
     node = EntryConfiguration(EntrySettings(EntryId('x'), Zone('a')), Random(1))
