Count only complete peers for synced, and report declared deaths

Two entry instances that had just started matched each other with empty tables and counted as synced. A digest now says whether its sender's table is complete. The longer wait at a start showed a second fault: an agent took each refused lease for a declared death and raised its incarnation once a heartbeat. Acknowledgements now carry is_dead.

Instances that all start together grant the first lease after fence_s.

--- a/packages/membership/src/persimmonreach/membership/_agent.py
+++ b/packages/membership/src/persimmonreach/membership/_agent.py
@@ -215,9 +215,7 @@
         return tuple(actions)
 
     def _take_grant(self, ack: HeartbeatAck, now: float) -> tuple[Action, ...]:
-        if ack.lease_s <= 0 and self._lease.valid_until is None:
-            # This registrar declared the incarnation dead and never grants it
-            # a lease again.
+        if ack.is_dead and self._lease.valid_until is None:
             return self._lapse(Incarnation(self.member.incarnation + 1), now)
         actions: list[Action] = []
         self._table.note_acknowledged(ack.entry, ack.sequence)
--- a/packages/membership/src/persimmonreach/membership/_duty.py
+++ b/packages/membership/src/persimmonreach/membership/_duty.py
@@ -67,12 +67,17 @@
         """Return whether this process started at least ``seconds`` ago."""
         return self._started_at is not None and now - self._started_at >= seconds
 
-    def grant(self, member: Member, now: float) -> bool:
-        """Return whether to grant a lease, and note the acknowledgement."""
+    def has_declared_dead(self, member: Member) -> bool:
+        """Return whether this registrar or a majority declared it dead."""
         row = self._table.find(member.agent)
         if row is None or row.member.incarnation != member.incarnation:
             return False
-        if not row.member.alive or self._entry in row.accusers:
+        return not row.member.alive or self._entry in row.accusers
+
+    def grant(self, member: Member, now: float) -> bool:
+        """Return whether to grant a lease, and note the acknowledgement."""
+        known = self._table.known_incarnation(member.agent)
+        if known != member.incarnation or self.has_declared_dead(member):
             return False
         self._heard[member.agent] = _Heard(member.incarnation, now)
         return True
--- a/packages/membership/src/persimmonreach/membership/_entry.py
+++ b/packages/membership/src/persimmonreach/membership/_entry.py
@@ -143,6 +143,8 @@
 
     def _act_on_time(self, now: float) -> tuple[Action, ...]:
         progress = self._progress
+        if self._duty.has_run_for(self._settings.fence_s, now):
+            self._gossip.note_waited()
         if now >= progress.next_scan:
             progress.next_scan = now + self._settings.heartbeat_s / 2
             self._scan(now)
@@ -175,6 +177,7 @@
     ) -> Iterable[Action]:
         member = heartbeat.member
         self._changes.publish((MemberRow(member._replace(alive=True)),), now)
+        is_dead = self._duty.has_declared_dead(member)
         is_granted = self._may_grant(now) and self._duty.grant(member, now)
         view = self._table.view(member.service)
         yield Send(
@@ -185,6 +188,7 @@
                 heartbeat.sequence,
                 max(member.incarnation, self._table.known_incarnation(member.agent)),
                 self._settings.lease_s if is_granted else 0,
+                is_dead,
                 view.digest,
                 self._progress.config_version,
                 self._registrars.present.version,
--- a/packages/membership/src/persimmonreach/membership/_gossip.py
+++ b/packages/membership/src/persimmonreach/membership/_gossip.py
@@ -34,6 +34,7 @@
         self._table = table
         self._registrars = registrars
         self._has_matched = False
+        self._has_waited = False
         self._handlers = MappingProxyType(
             {
                 TableDigest: self._compare_tables,
@@ -45,9 +46,16 @@
 
     @property
     def has_matched(self) -> bool:
-        """Whether the hash of a peer was equal at least once."""
+        """Whether the hash of a complete peer was equal at least once."""
         return self._has_matched
 
+    def note_waited(self) -> None:
+        """Count the own table as complete for peers, even without a match.
+
+        When all entry instances start together, none has a complete peer.
+        """
+        self._has_waited = True
+
     def open_exchange(self, peer: Endpoint) -> Action:
         """Return the message that starts a comparison."""
         return Send(peer, self._summary(is_reply=False))
@@ -61,11 +69,13 @@
 
     def _summary(self, *, is_reply: bool) -> TableDigest:
         version = self._registrars.present.version
-        return TableDigest(self._table.digest, version, is_reply)
+        is_complete = self._has_matched or self._has_waited
+        return TableDigest(self._table.digest, version, is_complete, is_reply)
 
     def _compare_tables(self, message: TableDigest) -> tuple[Any, ...]:
         is_equal = message.digest == self._table.digest
-        self._has_matched = self._has_matched or is_equal
+        # Two instances that both just started can be equal and lack rows.
+        self._has_matched = self._has_matched or (is_equal and message.is_complete)
         if message.is_reply:
             return ()
         if is_equal:
--- a/packages/membership/src/persimmonreach/membership/messages.py
+++ b/packages/membership/src/persimmonreach/membership/messages.py
@@ -36,6 +36,9 @@
         Highest incarnation of the agent that the registrar knows.
     lease_s
         Seconds of the lease from the sending of the heartbeat; 0 if refused.
+    is_dead
+        Whether the registrar declared this incarnation dead; only a higher
+        one is granted a lease again.
     digest
         Digest of the registrar's view of the service.
     config_version
@@ -50,6 +53,7 @@
     sequence: int
     incarnation: Incarnation
     lease_s: float
+    is_dead: bool
     digest: int
     config_version: int
     entries_version: int
@@ -86,10 +90,24 @@
 
 
 class TableDigest(NamedTuple):
-    """Hash of all rows; a reply says that the hashes are equal."""
+    """Hash of all rows.
+
+    Attributes
+    ----------
+    digest
+        Hash of all rows of the sender.
+    entries_version
+        Version of the sender's list of entry instances.
+    is_complete
+        Whether the sender's own table is known to be complete.
+    is_reply
+        Whether this answers a digest that was equal.
+
+    """
 
     digest: int
     entries_version: int
+    is_complete: bool
     is_reply: bool
 
 
--- a/packages/membership/tests/test_faults.py
+++ b/packages/membership/tests/test_faults.py
@@ -80,6 +80,14 @@
     assert all(not row.accusers for node in entries_of(cluster) for row in node.rows)
 
 
+def test_start_of_all_instances_together_raises_no_incarnation(new_cluster):
+    cluster = new_cluster()
+    cluster.run(8)
+    for index in range(4):
+        assert has_lease(cluster, f'a{index}')
+        assert cluster.nodes[f'a{index}'].member.incarnation == 1000
+
+
 def test_lapse_ends_when_registrars_return(new_cluster):
     cluster = new_cluster()
     cluster.run(8)
@@ -166,6 +174,23 @@
     assert node.digest == cluster.nodes[outside[1]].digest
 
 
+def test_two_joining_entry_instances_do_not_vouch_for_each_other(new_cluster):
+    cluster = new_cluster(entries=5, agents=7)
+    outside = [name for name in cluster.listed if name not in registrars_of(cluster)]
+    cluster.run(8)
+    for name in outside:
+        cluster.kill(name)
+    for name in outside:
+        cluster.start_entry(name)
+    cluster.partition(outside)
+    cluster.run(3)
+    assert not any(cluster.nodes[name].synced for name in outside)
+    cluster.cut = set()
+    cluster.run(3)
+    assert all(cluster.nodes[name].synced for name in outside)
+    assert len({node.digest for node in entries_of(cluster)}) == 1
+
+
 def test_replaced_process_never_renews_its_lease(new_cluster):
     cluster = new_cluster()
     cluster.run(8)
--- a/packages/membership/tests/test_leases.py
+++ b/packages/membership/tests/test_leases.py
@@ -27,7 +27,7 @@
 
 
 def acknowledge(agent, entry, sequence, now):
-    ack = HeartbeatAck(entry, 'a', sequence, agent.member.incarnation, 3, 0, 0, 1)
+    ack = HeartbeatAck(entry, 'a', sequence, agent.member.incarnation, 3, False, 0, 0, 1)
     agent.handle(Received(Endpoint(entry, 1), ack), now)
 
 
--- a/packages/membership/tests/test_messages.py
+++ b/packages/membership/tests/test_messages.py
@@ -49,10 +49,12 @@
 def steady_state_bytes(agents, entries, heartbeat_s, gossip_s):
     """Return bytes per second, sent and received, of an agent and an entry instance."""
     beat = size(Heartbeat(member(1), 1_000_000, 2000, 2000, LARGE, 10**6, 10**9))
-    ack = size(HeartbeatAck('e' * 30, 'a' * 32, 10**6, 10**13, 6, LARGE, 10**6, 10**9))
+    ack = size(
+        HeartbeatAck('e' * 30, 'a' * 32, 10**6, 10**13, 6, True, LARGE, 10**6, 10**9)
+    )
     exchange = beat + ack + 2 * IP_UDP_BYTES
     agent = 3 * exchange / heartbeat_s
-    digest = size(TableDigest(LARGE, 10**9, True)) + IP_UDP_BYTES
+    digest = size(TableDigest(LARGE, 10**9, True, True)) + IP_UDP_BYTES
     return agent, agent * agents / entries + 4 * digest / gossip_s
 
 
