Document the limit of the registrar handover

A trial with two of three registrars cut off and removed from the list found an agent listed as dead with a valid lease once handover_s had passed. The setting now states this limit.

--- a/packages/membership/src/persimmonreach/membership/_settings.py
+++ b/packages/membership/src/persimmonreach/membership/_settings.py
@@ -32,7 +32,9 @@
         minutes for which regions lose contact with each other.
     handover_s
         Time for which the registrars of a replaced list still count; exceeds
-        the time that a new list needs to reach all nodes by gossip.
+        the time that a new list needs to reach all nodes by gossip. If a
+        partition lasts longer and the store replaces most registrars of a
+        service meanwhile, both sides can find a majority.
     anti_entropy
         Whether digests are compared; off only in tests and benchmarks.
     fencing
