--- a/packages/configuration/src/persimmonreach/configuration/_entry.py
+++ b/packages/configuration/src/persimmonreach/configuration/_entry.py
@@ -203,7 +203,7 @@
         changed = ConfigurationChanged(self.configuration)
         self._push_until = now + PUSH_PHASE_S
         self._exchange_at = now + PUSH_ROUND_S
-        return (changed, *self._spread(FANOUT, now))
+        return (changed, *self._sync.notify(now), *self._spread(FANOUT, now))
 
     def _spread(self, count: int, now: float) -> tuple[Action, ...]:
         peers = self._entries.peers
--- a/packages/configuration/src/persimmonreach/configuration/_sync.py
+++ b/packages/configuration/src/persimmonreach/configuration/_sync.py
@@ -5,6 +5,7 @@
 
 from persimmonreach.configuration._confirmation import Confirmation
 from persimmonreach.configuration._events import AbsorbOverrides, StoreRead
+from persimmonreach.configuration._recipients import Recipients
 from persimmonreach.configuration._replica import ConfigReplica
 from persimmonreach.configuration._transfer import Puller
 from persimmonreach.configuration.messages import (
@@ -37,6 +38,7 @@
         self._offered = Confirmation()
         self._absorb_at: float = 0
         self._pulls_all = False
+        self._recipients = Recipients()
 
     @property
     def confirmation(self) -> Confirmation:
@@ -94,14 +96,17 @@
         """Answer a peer or an agent that asks for the configuration."""
         if isinstance(pull, ConfigPull):
             return tuple(Send(peer, push) for push in self._replica.serve(pull))
-        version = self._replica.version
-        push = ServicePush(
-            version,
-            self._confirmation.age_ms(now),
-            self._replica.zones,
-            None if pull.version == version else self._replica.find(pull.name),
+        self._recipients.remember(peer, pull.name, now)
+        is_current = pull.version == self._replica.version
+        name = None if is_current else pull.name
+        return (Send(peer, self._service_push(name, now)),)
+
+    def notify(self, now: float) -> tuple[Action, ...]:
+        """Tell the agents that asked lately of a change."""
+        return tuple(
+            Send(agent, self._service_push(name, now))
+            for agent, name in self._recipients.current(now)
         )
-        return (Send(peer, push),)
 
     def pushed(self, event: Received, now: float) -> tuple[bool, tuple[Action, ...]]:
         """Keep a chunk; return whether a newer version is in force."""
@@ -131,3 +136,11 @@
         # Readers act at different times, so that mostly one writes.
         self._absorb_at = now + ABSORB_RETRY_S * (1 + random.random())
         return (AbsorbOverrides(overrides),)
+
+    def _service_push(self, name: str | None, now: float) -> ServicePush:
+        return ServicePush(
+            self._replica.version,
+            self._confirmation.age_ms(now),
+            self._replica.zones,
+            None if name is None else self._replica.find(name),
+        )
--- a/packages/configuration/src/persimmonreach/configuration/messages.py
+++ b/packages/configuration/src/persimmonreach/configuration/messages.py
@@ -138,7 +138,7 @@
         Zones with overrides applied.
     service
         Service of the agent; nothing if it is not declared or if the agent
-        has this version already.
+        asked with this version.
 
     """
 
--- a/packages/configuration/tests/test_spread.py
+++ b/packages/configuration/tests/test_spread.py
@@ -187,6 +187,10 @@
     return lambda item: item.version == version
 
 
+def _has_zone_a(out: bool):
+    return lambda item: ('a' in item.zones_out) is out
+
+
 def _settled(net: _Net) -> None:
     net.run(20)
     assert all(node.configuration.version for node in net.nodes.values())
@@ -316,6 +320,19 @@
     assert all(item.zones_out == {'a'} for item in net.in_force())
 
 
+def test_override_reaches_150_instances_and_their_agents_within_5_s() -> None:
+    net = _Net(150, agents=20, loss=0.3)
+    net.publish(1)
+    _settled(net)
+    for number, out in enumerate((True, False, True)):
+        wall_ms = int(net.clock.now() * 1000)
+        override = OverrideSet(Zone('a'), out, wall_ms, f'o{number}')
+        net.post(net.instances[number].endpoint, override)
+        net.seconds_until(_has_zone_a(out), limit=5)
+        net.run(10)
+    assert not net.went_down
+
+
 @pytest.mark.parametrize('through_store', [True, False])
 def test_override_does_not_outlive_an_opposite_later_change(through_store: bool) -> None:
     net = _Net(9, agents=4, loss=0.3)
