--- a/packages/admission/src/persimmonreach/admission/_placement.py
+++ b/packages/admission/src/persimmonreach/admission/_placement.py
@@ -170,6 +170,7 @@
             flow.key,
             flow.packet,
             self._agent,
+            self._standing.incarnation,
             self._number,
             member.incarnation,
         )
--- a/packages/admission/src/persimmonreach/admission/_standing.py
+++ b/packages/admission/src/persimmonreach/admission/_standing.py
@@ -27,6 +27,11 @@
                 self._valid_until = -inf
                 self.learn(event.incarnation)
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """Incarnation of the agent as far as it is known."""
+        return self._incarnation
+
     def learn(self, incarnation: Incarnation) -> None:
         """Take note of the agent's incarnation; it only rises."""
         self._incarnation = max(self._incarnation, incarnation)
--- a/packages/admission/src/persimmonreach/admission/messages.py
+++ b/packages/admission/src/persimmonreach/admission/messages.py
@@ -28,6 +28,8 @@
         First packet of the flow.
     agent
         Agent that asks.
+    incarnation
+        Incarnation of the agent that asks.
     number
         Number of the choice; the same in each repetition of the message.
     target_incarnation
@@ -40,6 +42,7 @@
     key: FlowKey
     packet: bytes
     agent: AgentId
+    incarnation: Incarnation
     number: int
     target_incarnation: Incarnation
 
--- a/packages/admission/tests/test_placement.py
+++ b/packages/admission/tests/test_placement.py
@@ -140,7 +140,7 @@
 
 def test_copies_of_a_message_get_the_same_answer_whatever_changed_meanwhile() -> None:
     taker = placement(1, [member(0), member(1)])
-    question = PlaceFlow(SERVICE, b'k', b'syn', 'a0', 5, 1)
+    question = PlaceFlow(SERVICE, b'k', b'syn', 'a0', 1, 5, 1)
     other = question._replace(key=b'l', number=6)
     from_owner = endpoint(0)
     admitted = taker.handle(Received(from_owner, question), 0)
@@ -159,7 +159,7 @@
 
 def test_a_flow_that_lives_here_is_accepted_by_a_full_member_until_it_ends() -> None:
     taker = placement(1, [member(0), member(1)])
-    question = PlaceFlow(SERVICE, b'k', b'syn', 'a0', 5, 1)
+    question = PlaceFlow(SERVICE, b'k', b'syn', 'a0', 1, 5, 1)
     taker.handle(Received(endpoint(0), question), 0)
     taker.handle(FULL, 1)
     again = taker.handle(Received(endpoint(2), question._replace(agent='a2')), 1)
@@ -180,7 +180,7 @@
 def test_full_draining_and_zone_out_members_refuse(event, expected) -> None:
     taker = placement(1, [member(0), member(1)])
     taker.handle(event, 0)
-    question = PlaceFlow(SERVICE, b'k', b'syn', 'a0', 5, 1)
+    question = PlaceFlow(SERVICE, b'k', b'syn', 'a0', 1, 5, 1)
     actions = taker.handle(Received(endpoint(0), question), 0)
     assert actions[0].message.verdict is expected
 
@@ -205,7 +205,7 @@
 def test_a_member_without_lease_or_of_a_later_incarnation_takes_nothing_new() -> None:
     taker = placement(1, [member(0), member(1)])
     owner = endpoint(0)
-    question = PlaceFlow(SERVICE, b'k', b'syn', 'a0', 5, 1)
+    question = PlaceFlow(SERVICE, b'k', b'syn', 'a0', 1, 5, 1)
     taker.handle(LeaseRenewed(3), 0)
     assert isinstance(taker.handle(Received(owner, question), 2)[0], AdmitLocal)
     lapsed = question._replace(key=b'l', number=6)
@@ -222,7 +222,7 @@
 
 def test_messages_of_other_services_are_dropped() -> None:
     taker = placement(1, [member(0), member(1)])
-    question = PlaceFlow(SERVICE + 1, b'k', b'syn', 'a0', 5, 1)
+    question = PlaceFlow(SERVICE + 1, b'k', b'syn', 'a0', 1, 5, 1)
     assert taker.handle(Received(endpoint(0), question), 0) == (
         Count('placements_of_other_service'),
     )
--- a/packages/daemon/src/persimmonreach/daemon/_agent_status.py
+++ b/packages/daemon/src/persimmonreach/daemon/_agent_status.py
@@ -40,7 +40,10 @@
 
     def is_ready(self) -> bool:
         """Return whether the agent takes new work."""
-        return self._flows is not None and not self._flows.router.is_draining
+        if self._flows is None:
+            return False
+        router = self._flows.router
+        return not router.is_draining and router.is_settled(self._clock.now())
 
     def status(self) -> dict[str, Any]:
         """Return the state of the agent as JSON values."""
--- a/packages/ownership/src/persimmonreach/ownership/_machine.py
+++ b/packages/ownership/src/persimmonreach/ownership/_machine.py
@@ -109,6 +109,15 @@
         """Return whether a new flow of ``bucket`` would be admitted now."""
         return self._parts.tokens.admits(bucket, now)
 
+    def is_settled(self, now: float) -> bool:
+        """Return whether the agent may admit in all buckets expected of it."""
+        peers = self._parts.peers
+        return peers.may_admit(now) and all(
+            bucket in self.owned
+            for bucket in range(BUCKETS_PER_SERVICE)
+            if peers.is_expected(BucketId(bucket))
+        )
+
     def accepts_placement(
         self,
         key: FlowKey,
--- a/packages/ownership/tests/conftest.py
+++ b/packages/ownership/tests/conftest.py
@@ -6,7 +6,6 @@
 from typing import NamedTuple
 
 import pytest
-import xxhash
 
 from persimmonreach import core, membership
 from persimmonreach import ownership as own
@@ -240,16 +239,7 @@
     return own.PacketArrived(PacketHeader(packet[:-1], flags, 1, 0, 0, 0), packet, hops)
 
 
-def encoded_score(subject, member):
-    return xxhash.xxh3_64_intdigest(f'{subject}\n{member}'.encode())
-
-
 @pytest.fixture(scope='session')
 def world():
     """Return the class, so that each test sets its own faults."""
-    # core.rendezvous_score passes text to xxhash 4.1, which accepts only
-    # bytes. Remove this substitute when core encodes the text.
-    with pytest.MonkeyPatch.context() as patch:
-        patch.setattr('persimmonreach.membership._view.rendezvous_score', encoded_score)
-        patch.setattr('persimmonreach.ownership._answers.rendezvous_score', encoded_score)
-        yield World
+    return World
--- a/packages/routing/src/persimmonreach/routing/_agent.py
+++ b/packages/routing/src/persimmonreach/routing/_agent.py
@@ -3,7 +3,12 @@
 from collections.abc import Mapping
 from types import MappingProxyType
 
-from persimmonreach.admission import BackendReported, BackendState, LimitSettings
+from persimmonreach.admission import (
+    BackendReported,
+    BackendState,
+    LimitSettings,
+    PlaceFlow,
+)
 from persimmonreach.configuration import Configuration, ConfigurationChanged
 from persimmonreach.core import Action, Count, Event, Received, StateMachine, Tick
 from persimmonreach.flows import AdoptFlows, EndAllFlows, EndReason
@@ -103,6 +108,10 @@
         """Number of local flows."""
         return len(self._parts.flows)
 
+    def is_settled(self, now: float) -> bool:
+        """Return whether the agent may admit in all buckets meant for it."""
+        return self._parts.ownership.is_settled(now)
+
     def handle(self, event: Event, now: float) -> tuple[Action, ...]:
         """Return the actions for the outside that ``event`` causes."""
         actions = self._handlers[type(event)](event, now)
@@ -112,11 +121,20 @@
         message = event.message
         if isinstance(message, ForwardedPacket):
             return self._on_forwarded(message, now)
+        if isinstance(message, PlaceFlow) and not self._accepts(message, now):
+            return (Count('placements_of_former_owner'),)
         machine = self._routes.get(type(message))
         if machine is None:
             return (Count('messages_unexpected'),)
         return machine.handle(event, now)
 
+    def _accepts(self, message: PlaceFlow, now: float) -> bool:
+        """Return whether the sender may still own the bucket of the flow."""
+        if self._parts.flows.holds(message.key):
+            return True
+        owner = (message.agent, message.incarnation)
+        return self._parts.ownership.accepts_placement(message.key, owner, now)
+
     def _on_forwarded(
         self,
         message: ForwardedPacket,
