--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := core runtime packets configuration membership ownership flows admission requests routing observability control daemon cli standins proof
-SOURCES := packages
+SOURCES := packages conftest.py
 
 .PHONY: setup format lint test check demo matrix matrix-long bench
 
--- a/packages/membership/tests/test_faults.py
+++ b/packages/membership/tests/test_faults.py
@@ -275,3 +275,15 @@
         assert len(chosen) == 3
         assert len({row.zone for row in chosen}) == min(zones, 3)
         assert chosen == choose_registrars(service, list(reversed(entries)))
+
+
+def test_no_death_while_leased_if_the_cut_off_registrars_are_removed(new_cluster):
+    cluster = new_cluster(entries=5, agents=4)
+    cluster.run(12)
+    kept = registrars_of(cluster)[::2]
+    cluster.partition([*kept, 'a0', 'a1'])
+    for name in kept:
+        cluster.listed.pop(name)
+    rest = [name for name in cluster.nodes if name.startswith('e') and name not in kept]
+    cluster.publish_list(rest)
+    cluster.run(30)
