Pass request records on when an agent stops gracefully

Ruled out: asking the backend server (the platform offers no such endpoint), keeping records on disk (instances have none). Change: a stopping agent hands over its buckets, then takes no new requests, finishes those that run and gives the hashes of their ids to two members; its successor asks all members and trusts the records only if all live members of a confirmed view answered and no later process of the agent has asked before. A registrar pushes a changed view at once instead of with the next acknowledgement. The demo restarts one agent. Failed tries: counting askers by the first one only (every successor was refused, since the members that keep nothing remember the predecessor's own question); trusting the first view (it names only the agent itself). Conclusion: a planned stop costs callers a delay and no order.

--- a/conftest.py
+++ b/conftest.py
@@ -13,6 +13,7 @@
 
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Mark the listed tests as strict expected failures."""
     lines = KNOWN_RED.read_text(encoding='utf-8').splitlines()
     listed = {line.removeprefix(PREFIX) for line in lines if line.startswith(PREFIX)}
     for item in items:
--- a/packages/daemon/src/persimmonreach/daemon/_agent_process.py
+++ b/packages/daemon/src/persimmonreach/daemon/_agent_process.py
@@ -43,6 +43,7 @@
 from persimmonreach.observability import Counters, configure_logs
 from persimmonreach.observability.tasks import HttpEndpoint
 from persimmonreach.packets.adapters import UdpBackendServer, UdpFabric
+from persimmonreach.requests import StopRequested
 from persimmonreach.routing import DrainRequested
 from persimmonreach.routing.tasks import AgentLinks, BackendMonitorTask, FlowTask
 from persimmonreach.runtime import PeerTask, UdpSocket
@@ -225,7 +226,7 @@
         )
 
     def _drain(self, flows: FlowTask) -> None:
-        """Hand buckets over and finish requests before the process ends.
+        """Hand buckets over, finish requests and pass on their records.
 
         The state ``left`` is announced only if no flow is open: the flows of
         a backend server that goes on are adopted by the agent's successor.
@@ -234,8 +235,11 @@
         flows.post(DrainRequested())
         router = flows.router
         with gevent.Timeout(self._settings.shutdown_s, exception=False):
-            gevent.sleep(_DRAIN_POLL_S)
-            while router.has_requests or router.owned_buckets:
+            while router.owned_buckets:
+                gevent.sleep(_DRAIN_POLL_S)
+            # Callers wait from here until the successor runs, so this is last.
+            flows.post(StopRequested())
+            while not router.is_sealed:
                 gevent.sleep(_DRAIN_POLL_S)
         if not router.flow_count:
             self._dispatcher.accept(StateAnnounced(MemberState.LEFT))
--- a/packages/membership/src/persimmonreach/membership/_entry.py
+++ b/packages/membership/src/persimmonreach/membership/_entry.py
@@ -33,7 +33,7 @@
 from persimmonreach.membership._rows import RowChanges
 from persimmonreach.membership._settings import MembershipSettings
 from persimmonreach.membership._table import MemberRow, MemberTable
-from persimmonreach.membership._view import View
+from persimmonreach.membership._view import View, ViewChanged
 from persimmonreach.membership.messages import (
     EntryList,
     EntryListRequest,
@@ -127,7 +127,9 @@
             self._progress.config_version = event.configuration.version
         elif isinstance(event, Received):
             actions = self._receive(event, now)
-        return (*actions, *self._changes.take_actions())
+        changes = self._changes.take_actions()
+        pushes = (push for change in changes for push in self._push(change))
+        return (*actions, *changes, *pushes)
 
     def _receive(self, event: Received, now: float) -> tuple[Action, ...]:
         message = event.message
@@ -198,6 +200,18 @@
             for message in view_messages(view):
                 yield Send(sender, message)
 
+    def _push(self, change: Action) -> Iterable[Action]:
+        """Send a changed view at once; acknowledgements repeat it if it is lost."""
+        if not isinstance(change, ViewChanged):
+            return
+        view = change.view
+        if not self._registrars.is_first(view.service, self._entry.entry):
+            return
+        for member in view.members:
+            if member.is_reachable:
+                for message in view_messages(view):
+                    yield Send(member.endpoint, message)
+
     def _may_grant(self, now: float) -> bool:
         # An earlier process of this entry instance may have declared agents
         # dead; its opinions come with the rows of a peer.
--- a/packages/membership/src/persimmonreach/membership/_registrars.py
+++ b/packages/membership/src/persimmonreach/membership/_registrars.py
@@ -94,6 +94,11 @@
             self._chosen[service] = chosen
         return chosen
 
+    def is_first(self, service: ServiceId, entry: EntryId) -> bool:
+        """Return whether ``entry`` is the highest-ranked registrar of a service."""
+        present = self.sets(service)[0]
+        return bool(present) and present[0].entry == entry
+
     def everyone(self, service: ServiceId) -> tuple[EntryInstance, ...]:
         """Return the registrars of all sets that count."""
         known = self._everyone.get(service)
--- a/packages/requests/src/persimmonreach/requests/__init__.py
+++ b/packages/requests/src/persimmonreach/requests/__init__.py
@@ -9,9 +9,11 @@
     CancelAttempt,
     DrainStarted,
     FlowEnded,
+    FlowsAdopted,
     ReplyFrame,
     RequestArrived,
     RunAttempt,
+    StopRequested,
 )
 from persimmonreach.requests._machine import Requests
 from persimmonreach.requests._settings import RequestSettings
@@ -20,6 +22,7 @@
     Ending,
     RunElsewhere,
     RunOutcome,
+    WantRecords,
 )
 
 __all__ = (
@@ -33,6 +36,7 @@
     'DrainStarted',
     'Ending',
     'FlowEnded',
+    'FlowsAdopted',
     'ReplyFrame',
     'RequestArrived',
     'RequestSettings',
@@ -40,4 +44,6 @@
     'RunAttempt',
     'RunElsewhere',
     'RunOutcome',
+    'StopRequested',
+    'WantRecords',
 )
--- a/packages/requests/src/persimmonreach/requests/_events.py
+++ b/packages/requests/src/persimmonreach/requests/_events.py
@@ -66,6 +66,24 @@
     """The agent takes no more attempts for other agents."""
 
 
+class FlowsAdopted(NamedTuple):
+    """The agent has started and read this many open flows.
+
+    Without any, no earlier process beside the backend server can have run
+    requests whose copies still arrive.
+    """
+
+    flows: int
+
+
+class StopRequested(NamedTuple):
+    """The agent's process is about to stop; its backend server goes on.
+
+    New requests get no reply from now on, so that the successor of the agent
+    answers their repetitions.
+    """
+
+
 class RunAttempt(NamedTuple):
     """Action: hand the attempt to the local backend server on flow ``key``.
 
--- a/packages/requests/src/persimmonreach/requests/_machine.py
+++ b/packages/requests/src/persimmonreach/requests/_machine.py
@@ -5,8 +5,16 @@
 
 from persimmonreach.admission import BackendReported, BackendState, ConcurrencyLimit
 from persimmonreach.configuration import ConfigurationChanged
-from persimmonreach.core import Action, AgentId, Event, Received, StateMachine, Tick
-from persimmonreach.membership import ViewChanged
+from persimmonreach.core import (
+    Action,
+    AgentId,
+    Count,
+    Event,
+    Received,
+    StateMachine,
+    Tick,
+)
+from persimmonreach.membership import ViewChanged, ViewConfirmed
 from persimmonreach.packets import Outcome
 from persimmonreach.requests._backend import BackendSide
 from persimmonreach.requests._callers import CallerSide
@@ -18,11 +26,14 @@
     CancelArrived,
     DrainStarted,
     FlowEnded,
+    FlowsAdopted,
     RequestArrived,
+    StopRequested,
 )
 from persimmonreach.requests._lifecycle import Lifecycle
-from persimmonreach.requests._records import RequestState, Verdict
+from persimmonreach.requests._records import RecordId, RequestState, Verdict
 from persimmonreach.requests._settings import RequestSettings
+from persimmonreach.requests._succession import Succession
 from persimmonreach.requests.messages import (
     CancelElsewhere,
     RunElsewhere,
@@ -33,7 +44,6 @@
 _DOWN: Final = BackendReported(BackendState.DOWN, 0)
 _LOST: Final = Verdict(Outcome.NOT_RUN, 'backend_lost', 0)
 _DRAINING: Final = Verdict(Outcome.NOT_RUN, 'draining', 0)
-_ADOPTED: Final = Verdict(Outcome.UNKNOWN, 'agent_restarted', 0)
 _MS_PER_S: Final = 1000
 # Ticks come several times a second; a longer gap is a pause of the process.
 _MAX_GAP_S: Final = 1
@@ -44,9 +54,9 @@
     """Runs each request at most once and gives it exactly one outcome.
 
     Handles RequestArrived, CancelArrived, BackendAnswered, BackendRefused,
-    BackendLost, BackendReported, FlowEnded, DrainStarted, ViewChanged,
-    ConfigurationChanged, Received and Tick. Ticks must come several times a
-    second.
+    BackendLost, BackendReported, FlowEnded, DrainStarted, StopRequested,
+    FlowsAdopted, ViewChanged, ViewConfirmed, ConfigurationChanged, Received and
+    Tick. Ticks must come several times a second.
 
     Parameters
     ----------
@@ -74,6 +84,7 @@
         self._callers = CallerSide(self._requests)
         self._backend = BackendSide(self._requests)
         self._peers = PeerSide(self._requests, self._callers)
+        self._succession = Succession(agent, self._requests)
         self._is_lost = False
         self._is_draining = False
         self._is_zone_out = False
@@ -85,6 +96,11 @@
         """Whether a request has no outcome yet."""
         return self._requests.table.has_open
 
+    @property
+    def is_sealed(self) -> bool:
+        """Whether nothing runs any more and another agent keeps the records."""
+        return self._succession.is_done
+
     @property
     def records(self) -> int:
         """Number of records kept."""
@@ -110,7 +126,7 @@
     def _handle_one(self, event: Event, now: float) -> None:
         match event:
             case RequestArrived():
-                self._callers.request(event, self._request_refusal(event, now), now)
+                self._request(event, now)
             case CancelArrived():
                 self._callers.cancel(event, now)
             case FlowEnded():
@@ -142,9 +158,17 @@
         match event:
             case DrainStarted():
                 self._is_draining = True
+            case FlowsAdopted():
+                self._succession.note_adopted(event.flows)
+            case StopRequested():
+                self._is_draining = True
+                self._succession.stop()
             case ViewChanged():
                 self._requests.targets.change_view(event.view)
+                self._succession.change_view(event.view)
                 self._peers.change_targets(now)
+            case ViewConfirmed():
+                self._succession.confirm_view(event.digest)
             case ConfigurationChanged():
                 zones_out = event.configuration.zones_out
                 self._is_zone_out = self._settings.zone in zones_out
@@ -158,6 +182,8 @@
                 self._peers.outcome(event.message, now)
             case CancelElsewhere():
                 self._peers.cancel(event.message, now)
+            case _:
+                self._succession.receive(event, now)
 
     def _tick(self, now: float) -> None:
         for record in self._requests.table.open_records():
@@ -166,6 +192,7 @@
             elif record.state is RequestState.ELSEWHERE:
                 if now >= record.sent_at + self._settings.repeat_s:
                     self._requests.ask_elsewhere(record, now)
+        self._succession.tick(now, is_recent=self._is_recent(now))
         self._requests.slots.expire(now)
         self._requests.table.expire(now)
 
@@ -175,16 +202,32 @@
             return _LOST
         return _DRAINING if self._is_draining or self._is_zone_out else None
 
+    def _request(self, event: RequestArrived, now: float) -> None:
+        name = RecordId(event.key, event.frame.request_id)
+        is_known = self._requests.table.find(name) is not None
+        if self._succession.is_waiting(event) and not is_known:
+            self._requests.emit(Count('requests_left_to_repeat'))
+            return
+        self._callers.request(event, self._request_refusal(event, now), now)
+
     def _request_refusal(self, event: RequestArrived, now: float) -> Verdict | None:
         """Return the outcome of a request that must not run at present.
 
         After a restart of the agent, an earlier copy of a request on an adopted
         flow may have run; copies arrive for the largest deadline and the
-        lifetime of a copy.
+        lifetime of a copy. The records of a predecessor that stopped gracefully
+        tell which requests these are.
         """
+        refusal = _LOST if self._is_lost else None
+        if self._succession.is_stopping:
+            return self._succession.refusal(event)
+        is_recent = self._is_recent(now)
+        if event.adopted and is_recent and not event.frame.idempotent:
+            refusal = self._succession.refusal(event) or refusal
+        return refusal
+
+    def _is_recent(self, now: float) -> bool:
+        """Return whether copies of a predecessor's requests may still arrive."""
         ends = self._requests.ends
         window_s = ends.largest_deadline_ms / _MS_PER_S + ends.copy_lifetime_s
-        is_recent = now < self._started_at + window_s
-        if event.adopted and is_recent and not event.frame.idempotent:
-            return _ADOPTED
-        return _LOST if self._is_lost else None
+        return now < self._started_at + window_s
--- a/packages/requests/src/persimmonreach/requests/_table.py
+++ b/packages/requests/src/persimmonreach/requests/_table.py
@@ -2,6 +2,7 @@
 
 import heapq
 from collections.abc import Iterator
+from itertools import chain
 
 from persimmonreach.packets import Outcome
 from persimmonreach.requests._answers import AnswerParts
@@ -54,6 +55,14 @@
         """Iterate over a copy of the records without outcome."""
         return iter(tuple(self._open.values()))
 
+    def all_records(self) -> Iterator[Record]:
+        """Iterate over all records and tombstones."""
+        return chain(
+            self._open.values(),
+            self._finished.values(),
+            self._tombstones.values(),
+        )
+
     def find(self, name: RecordId) -> Record | None:
         """Return the record."""
         ended = self._finished.get(name) or self._tombstones.get(name)
--- a/packages/requests/src/persimmonreach/requests/messages.py
+++ b/packages/requests/src/persimmonreach/requests/messages.py
@@ -1,4 +1,4 @@
-"""Messages between the agents of a service about a single attempt."""
+"""Messages between the agents of a service about attempts and records."""
 
 from enum import StrEnum
 from types import MappingProxyType
@@ -82,6 +82,89 @@
     attempt: int
 
 
+class KeepRecords(NamedTuple):
+    """A stopping agent asks the receiver to keep the ids of its requests.
+
+    Attributes
+    ----------
+    agent, incarnation
+        Agent that stops; it runs no request any more.
+    part, parts
+        Number of this part from 0, and number of parts.
+    digests
+        8-byte hashes of flow and request id; see ``digest_of``.
+
+    """
+
+    agent: AgentId
+    incarnation: Incarnation
+    part: int
+    parts: int
+    digests: tuple[int, ...]
+
+
+class RecordsKept(NamedTuple):
+    """The sender keeps this part of the records."""
+
+    agent: AgentId
+    incarnation: Incarnation
+    part: int
+
+
+class WantRecords(NamedTuple):
+    """A started agent asks for the records of its predecessor.
+
+    Attributes
+    ----------
+    agent
+        Agent that has started.
+    incarnation
+        Its incarnation.
+
+    """
+
+    agent: AgentId
+    incarnation: Incarnation
+
+
+class HeldRecords(NamedTuple):
+    """Answer to :class:`WantRecords`.
+
+    Attributes
+    ----------
+    keeper
+        Agent that answers.
+    incarnation
+        Incarnation of the asking agent.
+    asked
+        Highest other incarnation that has asked the keeper; 0 if none has. It
+        may have run requests.
+    sealed
+        Incarnation that sealed the records; 0 if the keeper has none.
+    part, parts
+        Number of this part from 0, and number of parts.
+    digests
+        As in :class:`KeepRecords`.
+
+    """
+
+    keeper: AgentId
+    incarnation: Incarnation
+    asked: Incarnation
+    sealed: Incarnation = Incarnation(0)
+    part: int = 0
+    parts: int = 1
+    digests: tuple[int, ...] = ()
+
+
 MESSAGE_TYPES: Final = MappingProxyType(
-    {70: RunElsewhere, 71: RunOutcome, 72: CancelElsewhere},
+    {
+        70: RunElsewhere,
+        71: RunOutcome,
+        72: CancelElsewhere,
+        73: KeepRecords,
+        74: RecordsKept,
+        75: WantRecords,
+        76: HeldRecords,
+    },
 )
--- a/packages/requests/tests/test_random_sequences.py
+++ b/packages/requests/tests/test_random_sequences.py
@@ -366,6 +366,6 @@
 )
 def test_the_checks_fail_without_the_mechanism(switch: str, fault: str) -> None:
     faults = set()
-    for seed in SEEDS[:4]:
+    for seed in SEEDS:
         faults |= Cluster(seed, **{switch: False}).play(10)
     assert fault in faults
--- a/packages/requests/tests/test_requests.py
+++ b/packages/requests/tests/test_requests.py
@@ -17,7 +17,13 @@
     ServiceConfig,
 )
 from persimmonreach.core import Count, Endpoint, Received, Send, Tick
-from persimmonreach.membership import Member, MemberState, View, ViewChanged
+from persimmonreach.membership import (
+    Member,
+    MemberState,
+    View,
+    ViewChanged,
+    ViewConfirmed,
+)
 from persimmonreach.packets import (
     AnswerFrame,
     CancelFrame,
@@ -43,6 +49,7 @@
     RunAttempt,
     RunElsewhere,
     RunOutcome,
+    WantRecords,
 )
 
 SERVICE: Final = 3
@@ -90,13 +97,19 @@
         self.view(*(member(number) for number in range(members)))
 
     def view(self, *rows: Member) -> list[Any]:
+        self.post(ViewConfirmed(0, self.now))
         return self.post(ViewChanged(View(SERVICE, rows)))
 
     def post(self, event: Any, now: float | None = None) -> list[Any]:
         if now is not None:
             self.now = now
         actions = self.machine.handle(event, self.now)
-        return [row for row in actions if not isinstance(row, Count)]
+        return [
+            row
+            for row in actions
+            if not isinstance(row, Count)
+            and not (isinstance(row, Send) and isinstance(row.message, WantRecords))
+        ]
 
     def receive(self, message: Any, number: int = 1) -> list[Any]:
         return self.post(Received(Endpoint('127.0.0.1', 9000 + number), message))
@@ -275,6 +288,7 @@
 
 def test_requests_on_adopted_flows_are_unknown_for_the_window() -> None:
     agent = Agent(slots=4)
+    agent.post(Tick())
     adopted = request(1)._replace(adopted=True)
     assert outcomes(agent.post(adopted, now=14.9)) == [UNKNOWN]
     idempotent = request(2, idempotent=True)._replace(adopted=True)
--- a/packages/routing/src/persimmonreach/routing/_agent.py
+++ b/packages/routing/src/persimmonreach/routing/_agent.py
@@ -23,7 +23,7 @@
 )
 from persimmonreach.ownership import LocalFlowsAdopted, PacketArrived
 from persimmonreach.packets import ForwardedPacket, PacketError
-from persimmonreach.requests import BackendLost, DrainStarted
+from persimmonreach.requests import BackendLost, DrainStarted, FlowsAdopted, StopRequested
 from persimmonreach.routing._agent_events import (
     BackendPacketArrived,
     BackendServerLost,
@@ -72,6 +72,7 @@
                 BackendReported: self._on_report,
                 BackendServerLost: self._on_backend_lost,
                 DrainRequested: self._on_drain,
+                StopRequested: self._on_stop,
                 ConfigurationChanged: self._on_configuration,
                 ViewChanged: self._on_view,
                 ViewConfirmed: self._on_confirmed,
@@ -93,6 +94,11 @@
         """Whether requests wait or run."""
         return self._parts.requests.has_work
 
+    @property
+    def is_sealed(self) -> bool:
+        """Whether nothing runs any more and another agent keeps the records."""
+        return self._parts.requests.is_sealed
+
     @property
     def owned_buckets(self) -> int:
         """Number of buckets whose token this agent holds."""
@@ -169,6 +175,7 @@
             if key != self._parts.own_key and not self._parts.flows.holds(key)
         )
         adopted = self._parts.flows.handle(AdoptFlows(keys), now)
+        adopted += self._parts.requests.handle(FlowsAdopted(len(keys)), now)
         return adopted + self._parts.ownership.handle(LocalFlowsAdopted(keys), now)
 
     def _on_report(self, event: BackendReported, now: float) -> tuple[Action, ...]:
@@ -186,6 +193,9 @@
         ended = self._parts.flows.handle(EndAllFlows(EndReason.BACKEND_DOWN), now)
         return lost + ended + self._on_drain(event, now)
 
+    def _on_stop(self, event: Event, now: float) -> tuple[Action, ...]:
+        return self._parts.requests.handle(event, now)
+
     def _on_drain(self, event: Event, now: float) -> tuple[Action, ...]:
         if not self._parts.state.start_draining(now):
             return ()
@@ -219,7 +229,8 @@
         return self._broadcast(event, now)
 
     def _on_confirmed(self, event: ViewConfirmed, now: float) -> tuple[Action, ...]:
-        return self._parts.ownership.handle(event, now)
+        owned = self._parts.ownership.handle(event, now)
+        return owned + self._parts.requests.handle(event, now)
 
     def _on_lease(self, event: Event, now: float) -> tuple[Action, ...]:
         owned = self._parts.ownership.handle(event, now)
--- a/packages/standins/src/persimmonreach/standins/_platform.py
+++ b/packages/standins/src/persimmonreach/standins/_platform.py
@@ -171,6 +171,28 @@
         self.servers.append(server)
         return server
 
+    def restart_agent(self, server: Server) -> Server:
+        """Stop an agent gracefully and start its successor.
+
+        Raises
+        ------
+        DemoError
+            If the agent does not end in time or ends with an error.
+
+        """
+        server.agent.process.terminate()
+        name = server.agent.name
+        wait_for(f'{name} to end', lambda: server.agent.process.poll() is not None)
+        status = server.agent.process.returncode
+        if status:
+            raise DemoError(f'{name} ended with {status}')
+        settings = self._agent_settings(server.name, server.zone, server.backend)
+        settings['service'] = server.service
+        agent = self._fleet.start_daemon(f'{name}-2', 'agent', settings)
+        successor = server._replace(agent=agent)
+        self.servers[self.servers.index(server)] = successor
+        return successor
+
     def wait_ready(self) -> None:
         """Wait until all daemons are ready and the fabric uses all entries."""
         wait_for('readiness of all daemons', self._all_ready)
--- a/packages/standins/src/persimmonreach/standins/_script.py
+++ b/packages/standins/src/persimmonreach/standins/_script.py
@@ -27,6 +27,7 @@
 # Observation times: long enough for the promise that the step is about.
 _AFTER_DRAIN_S: Final = 2.0
 _AFTER_KILL_S: Final = 2.0
+_AFTER_RESTART_S: Final = 3.0
 _ZONE_OUT_S: Final = 6.0
 _AFTER_RETURN_S: Final = 3.0
 _IN_FORCE_TIMEOUT_S: Final = 14.0
@@ -94,6 +95,7 @@
             resources.callback(self._fleet.stop)
             self._start()
             self._replace_server()
+            self._restart_agent()
             self._replace_entry()
             self._take_zone_out()
             self._change_declaration()
@@ -127,6 +129,14 @@
         platform.add_server(plan, old.zone, ServerState.COLD)
         gevent.sleep(_AFTER_DRAIN_S)
 
+    def _restart_agent(self) -> None:
+        platform = self._platform
+        plan = self._deployment.long_service
+        server = platform.server_in(plan, self._deployment.zones[1])
+        self._progress(f'stopping the agent of {server.name}; its successor starts')
+        platform.restart_agent(server)
+        gevent.sleep(_AFTER_RESTART_S)
+
     def _replace_entry(self) -> None:
         zone = self._deployment.zones[1]
         self._progress(f'killing the entry instance in {zone}; a new one starts')
