Refuse copied and outdated messages between own processes

A datagram recorded on a link could be sent again at any time, and a copy of a placement or of an old request packet would have taken effect again.

The envelope now carries the sender's wall clock in nanoseconds (8 bytes), which the tag covers. The codec refuses a datagram whose time differs from the own clock by more than the window (setting message_window_s, 1 to 5 s, 5 by default), so that no copy passes later than the 10 s for which request records outlive their deadline. Packets of callers need no memory. Refusals are counted as messages_out_of_window and messages_repeated.

--- a/packages/daemon/src/persimmonreach/daemon/_agent_process.py
+++ b/packages/daemon/src/persimmonreach/daemon/_agent_process.py
@@ -25,7 +25,7 @@
 from persimmonreach.daemon._service_waiter import ServiceWaiter, find_service
 from persimmonreach.daemon._settings import AgentSettings, shared_keys
 from persimmonreach.daemon._shutdown import StopSignal
-from persimmonreach.daemon._wire import make_codec
+from persimmonreach.daemon._wire import PACKET_TYPES, make_codec
 from persimmonreach.membership import (
     AgentMembership,
     FlowsCounted,
@@ -104,7 +104,8 @@
     def _start_endpoints(self, stack: ExitStack, status: AgentStatusSource) -> PeerTask:
         peers = PeerTask(
             UdpSocket(self._bind(self._settings.peer_port)),
-            make_codec(shared_keys(self._settings)),
+            make_codec(shared_keys(self._settings), self._settings.message_window_s),
+            PACKET_TYPES,
         )
         stack.enter_context(peers)
         http = HttpEndpoint(self._bind(self._settings.http_port), self._counters, status)
--- a/packages/daemon/src/persimmonreach/daemon/_entry_process.py
+++ b/packages/daemon/src/persimmonreach/daemon/_entry_process.py
@@ -31,7 +31,7 @@
 from persimmonreach.daemon._figures import TaskFigures
 from persimmonreach.daemon._settings import EntrySettings, shared_keys
 from persimmonreach.daemon._shutdown import StopSignal
-from persimmonreach.daemon._wire import make_codec
+from persimmonreach.daemon._wire import PACKET_TYPES, make_codec
 from persimmonreach.membership import EntryMembership, ViewChanged
 from persimmonreach.membership.messages import MESSAGE_TYPES as MEMBERSHIP_TYPES
 from persimmonreach.membership.tasks import EntryMembershipTask
@@ -86,7 +86,8 @@
     def _start(self, stack: ExitStack) -> EntryStatusSource:
         peers = PeerTask(
             UdpSocket(self._bind(self._settings.peer_port)),
-            make_codec(shared_keys(self._settings)),
+            make_codec(shared_keys(self._settings), self._settings.message_window_s),
+            PACKET_TYPES,
         )
         entry = EntryInstance(
             EntryId(self._settings.instance),
--- a/packages/daemon/src/persimmonreach/daemon/_settings.py
+++ b/packages/daemon/src/persimmonreach/daemon/_settings.py
@@ -11,12 +11,14 @@
 from persimmonreach.core import Endpoint, Finding, FindingsError, raise_findings
 from persimmonreach.flows import ProbeSettings
 from persimmonreach.membership import MembershipSettings, check_settings
-from persimmonreach.runtime import SharedKey
+from persimmonreach.runtime import LARGEST_WINDOW_S, SharedKey
 
 _LARGEST_PORT: Final = 65_535
 _SMALLEST_KEY_BYTES: Final = 16
 _LARGEST_KEY_BYTES: Final = 64
 _LARGEST_KEY_ID: Final = 255
+# Clocks set by NTP and a paused sender may differ by some hundred milliseconds.
+_SMALLEST_WINDOW_S: Final = 1.0
 
 
 class KeySetting(NamedTuple):
@@ -44,7 +46,15 @@
 
 
 class EntrySettings(NamedTuple):
-    """Settings of an entry instance; port 0 lets the system choose one."""
+    """Settings of an entry instance; port 0 lets the system choose one.
+
+    Attributes
+    ----------
+    message_window_s
+        Largest difference in seconds between a sender's clock and the own one
+        at which its messages are accepted.
+
+    """
 
     instance: str
     zone: str
@@ -57,6 +67,7 @@
     control_port: int = 0
     seeds: tuple[Endpoint, ...] = ()
     membership: MembershipSettings = MembershipSettings()
+    message_window_s: float = LARGEST_WINDOW_S
 
 
 class AgentSettings(NamedTuple):
@@ -72,6 +83,9 @@
         Peer addresses of some entry instances.
     shutdown_s
         Seconds that a graceful shutdown may take.
+    message_window_s
+        Largest difference in seconds between a sender's clock and the own one
+        at which its messages are accepted.
 
     """
 
@@ -87,6 +101,7 @@
     http_port: int = 0
     shutdown_s: float = 10
     membership: MembershipSettings = MembershipSettings()
+    message_window_s: float = LARGEST_WINDOW_S
     probing: ProbeSettings = ProbeSettings()
 
 
@@ -208,6 +223,11 @@
         for name in settings._fields
         if name.endswith('_port') and not 0 <= getattr(settings, name) <= _LARGEST_PORT
     ]
+    if not _SMALLEST_WINDOW_S <= settings.message_window_s <= LARGEST_WINDOW_S:
+        remedy = f'from {_SMALLEST_WINDOW_S} to {LARGEST_WINDOW_S}'
+        findings.append(
+            Finding(source, '$.message_window_s', 'not a valid window', remedy),
+        )
     if not _is_ip_number(settings.host):
         findings.append(Finding(source, '$.host', 'not an IP number'))
     if not settings.keys:
--- a/packages/runtime/src/persimmonreach/runtime/__init__.py
+++ b/packages/runtime/src/persimmonreach/runtime/__init__.py
@@ -1,8 +1,10 @@
 """Tasks, wire codec and UDP transport shared by all slices."""
 
 from persimmonreach.runtime._codec import (
+    LARGEST_WINDOW_S,
     EnvelopeError,
     SharedKey,
+    StaleError,
     WireCodec,
     WireError,
 )
@@ -11,11 +13,13 @@
 from persimmonreach.runtime._transport import DatagramSocket, UdpSocket
 
 __all__ = (
+    'LARGEST_WINDOW_S',
     'DatagramSocket',
     'EnvelopeError',
     'PeerTask',
     'PeerTransport',
     'SharedKey',
+    'StaleError',
     'Task',
     'UdpSocket',
     'WireCodec',
--- a/packages/runtime/src/persimmonreach/runtime/_codec.py
+++ b/packages/runtime/src/persimmonreach/runtime/_codec.py
@@ -1,23 +1,43 @@
 """Encoding and authentication of messages between own processes."""
 
 import hmac
-from collections.abc import Mapping, Sequence
+import time
+from collections.abc import Callable, Mapping, Sequence
 from hashlib import blake2b
-from typing import Any, Final, NamedTuple
+from struct import Struct
+from typing import Any, ClassVar, Final, NamedTuple
 
 import msgspec
 
 _TAG_BYTES: Final = 16
-_HEADER_BYTES: Final = 2 + _TAG_BYTES
+_TAG: Final = slice(1, 1 + _TAG_BYTES)
+# Sender's time and message type.
+_PREFIX: Final = Struct('!QB')
+_BODY_START: Final = _TAG.stop + _PREFIX.size
+_NS_PER_S: Final = 1_000_000_000
+# A message is accepted for at most twice this time after it was sent, if the
+# clock of its sender is ahead by the whole window. Request records outlive
+# their deadline by 10 s (PACKET_COPY_LIFETIME), so no later copy may pass.
+LARGEST_WINDOW_S: Final = 5.0
 
 
 class WireError(ValueError):
     """A datagram is not a well-formed message."""
 
+    counter: ClassVar[str] = 'messages_malformed'
+
 
 class EnvelopeError(WireError):
     """A datagram does not carry a valid authentication tag."""
 
+    counter: ClassVar[str] = 'messages_unauthenticated'
+
+
+class StaleError(EnvelopeError):
+    """A datagram was sent too long ago, or the clocks of both ends differ."""
+
+    counter: ClassVar[str] = 'messages_out_of_window'
+
 
 class SharedKey(NamedTuple):
     """Key that authenticates messages between own processes.
@@ -38,8 +58,9 @@
 class WireCodec:
     """Encodes message types as datagrams and back.
 
-    A datagram is: key id (1 byte), keyed BLAKE2 tag (16 bytes), message type
-    (1 byte), msgpack array of the message's fields.
+    A datagram is: key id (1 byte), keyed BLAKE2 tag (16 bytes), sender's wall
+    clock in microseconds (8 bytes), message type (1 byte), msgpack array of
+    the message's fields. The tag covers all that follows it.
 
     Parameters
     ----------
@@ -48,6 +69,11 @@
     keys
         Keys in force. The first one signs; all of them verify, so that two
         keys can be in force during a rotation.
+    window_s
+        Largest difference in seconds between the sender's time in a datagram
+        and the own wall clock.
+    wall_clock
+        Returns the time of day in nanoseconds.
 
     """
 
@@ -55,11 +81,12 @@
         self,
         message_types: Mapping[int, type],
         keys: Sequence[SharedKey],
+        window_s: float = LARGEST_WINDOW_S,
+        wall_clock: Callable[[], int] = time.time_ns,
     ) -> None:
         self._encoder = msgspec.msgpack.Encoder()
         self._numbers = {
-            message_type: bytes((number,))
-            for number, message_type in message_types.items()
+            message_type: number for number, message_type in message_types.items()
         }
         self._decoders = {
             number: msgspec.msgpack.Decoder(type=message_type)
@@ -68,11 +95,18 @@
         self._signing_id = bytes((keys[0].key_id,))
         self._signing_secret = keys[0].secret
         self._secrets = {key.key_id: key.secret for key in keys}
+        self._window_ns = int(window_s * _NS_PER_S)
+        self._wall_clock = wall_clock
+        self._sent_ns = 0
 
     def encode(self, message: Any) -> bytes:
         """Return ``message`` as an authenticated datagram."""
-        body = self._numbers[type(message)] + self._encoder.encode(message)
-        return self._signing_id + _tag(self._signing_secret, body) + body
+        # Two messages with the same content get different times and hence
+        # different tags, so that a retransmission is not taken for a copy.
+        self._sent_ns = max(self._sent_ns + 1, self._wall_clock())
+        prefix = _PREFIX.pack(self._sent_ns, self._numbers[type(message)])
+        body = prefix + self._encoder.encode(message)
+        return self._signing_id + _tag(body, self._signing_secret) + body
 
     def decode(self, datagram: bytes) -> Any:
         """Return the message in ``datagram``.
@@ -81,27 +115,36 @@
         ------
         EnvelopeError
             If the key is unknown or the tag does not match.
+        StaleError
+            If the sender's time is outside the window.
         WireError
             If the type or a field is not as declared.
 
         """
-        if len(datagram) < _HEADER_BYTES:
+        if len(datagram) < _BODY_START:
             raise WireError('datagram is shorter than its header')
         secret = self._secrets.get(datagram[0])
-        body = datagram[_HEADER_BYTES - 1 :]
         if secret is None:
             raise EnvelopeError('datagram names an unknown key')
-        tag = datagram[1 : _HEADER_BYTES - 1]
-        if not hmac.compare_digest(_tag(secret, body), tag):
+        expected = _tag(datagram[_TAG.stop :], secret)
+        if not hmac.compare_digest(expected, datagram[_TAG]):
             raise EnvelopeError('authentication tag does not match')
-        decoder = self._decoders.get(body[0])
+        sent_ns, number = _PREFIX.unpack_from(datagram, _TAG.stop)
+        if not -self._window_ns <= self._wall_clock() - sent_ns <= self._window_ns:
+            raise StaleError('time of the sender is outside the window')
+        decoder = self._decoders.get(number)
         if decoder is None:
-            raise WireError(f'unknown message type {body[0]}')
+            raise WireError(f'unknown message type {number}')
         try:
-            return decoder.decode(body[1:])
-        except msgspec.DecodeError as error:
+            return decoder.decode(datagram[_BODY_START:])
+        except ValueError as error:
             raise WireError(str(error)) from error
 
 
-def _tag(secret: bytes, body: bytes) -> bytes:
+def message_tag(datagram: bytes) -> bytes:
+    """Return the tag that tells a datagram from all others."""
+    return datagram[_TAG]
+
+
+def _tag(body: bytes, secret: bytes) -> bytes:
     return blake2b(body, key=secret, digest_size=_TAG_BYTES).digest()
--- a/packages/runtime/src/persimmonreach/runtime/_peer.py
+++ b/packages/runtime/src/persimmonreach/runtime/_peer.py
@@ -1,14 +1,39 @@
 """Socket for messages between own processes."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Mapping
-from typing import Any, final
-
-from persimmonreach.core import Endpoint, Received
-from persimmonreach.runtime._codec import EnvelopeError, WireCodec, WireError
+from collections import Counter
+from collections.abc import Collection, Mapping
+from types import MappingProxyType
+from typing import Any, Final, final
+
+from persimmonreach.core import Endpoint, MonotonicClock, Received
+from persimmonreach.runtime._codec import (
+    LARGEST_WINDOW_S,
+    EnvelopeError,
+    StaleError,
+    WireCodec,
+    WireError,
+    message_tag,
+)
+from persimmonreach.runtime._replay import ReplayMemory
 from persimmonreach.runtime._task import Task
 from persimmonreach.runtime._transport import DatagramSocket
 
+_REPEATED: Final = 'messages_repeated'
+_UNEXPECTED: Final = 'messages_unexpected'
+_DISPLACED: Final = 'replay_tags_displaced'
+_NO_REFUSALS: Final = MappingProxyType(
+    {
+        WireError.counter: 0,
+        EnvelopeError.counter: 0,
+        StaleError.counter: 0,
+        _REPEATED: 0,
+        _UNEXPECTED: 0,
+    },
+)
+# A copy can pass the codec's window on both sides of the sender's time.
+_MEMORY_S: Final = 2 * LARGEST_WINDOW_S
+
 
 class PeerTransport(ABC):
     """Sends messages to other processes of the system."""
@@ -28,17 +53,28 @@
         Socket; closed with the task.
     codec
         Encoding and authentication of the messages.
+    packet_types
+        Message types that carry packets of callers. The network may duplicate
+        them and the ends of the flow cope with that, so no copies of them are
+        looked for.
 
     """
 
-    def __init__(self, datagrams: DatagramSocket, codec: WireCodec) -> None:
+    def __init__(
+        self,
+        datagrams: DatagramSocket,
+        codec: WireCodec,
+        packet_types: Collection[type] = (),
+    ) -> None:
         super().__init__(tick_seconds=1)
         self._datagrams = datagrams
         self._codec = codec
         self._routes: dict[type, Task] = {}
         self._default_route: Task | None = None
-        self._refused = {'messages_malformed': 0, 'messages_unauthenticated': 0}
-        self._unrouted = 0
+        self._packet_types = frozenset(packet_types)
+        self._memory = ReplayMemory(_MEMORY_S)
+        self._clock = MonotonicClock()
+        self._refused = Counter(_NO_REFUSALS)
         self._resources.callback(datagrams.close)
 
     @property
@@ -49,7 +85,7 @@
     @property
     def counts(self) -> dict[str, int]:
         """Refused messages by reason."""
-        return {**self._refused, 'messages_unexpected': self._unrouted}
+        return {**self._refused, _DISPLACED: self._memory.displaced}
 
     def connect(self, routes: Mapping[type, Task]) -> None:
         """Hand received messages of these types to these tasks."""
@@ -76,18 +112,27 @@
     def _receive_datagrams(self) -> None:
         while True:
             datagram, sender = self._datagrams.receive()
-            try:
-                message = self._codec.decode(datagram)
-            except EnvelopeError:
-                self._refused['messages_unauthenticated'] += 1
-            except WireError:
-                self._refused['messages_malformed'] += 1
-            else:
-                self._dispatch(Received(sender, message))
+            self._accept(datagram, sender)
+
+    def _accept(self, datagram: bytes, sender: Endpoint) -> None:
+        try:
+            message = self._codec.decode(datagram)
+        except WireError as error:
+            self._refused[error.counter] += 1
+            return
+        if self._is_copy(type(message), datagram):
+            self._refused[_REPEATED] += 1
+            return
+        self._dispatch(Received(sender, message))
+
+    def _is_copy(self, message_type: type, datagram: bytes) -> bool:
+        if message_type in self._packet_types:
+            return False
+        return not self._memory.admit(message_tag(datagram), self._clock.now())
 
     def _dispatch(self, received: Received) -> None:
         task = self._routes.get(type(received.message), self._default_route)
         if task is None:
-            self._unrouted += 1
+            self._refused[_UNEXPECTED] += 1
         else:
             task.post(received)
