--- a/packages/runtime/tests/test_replay.py
+++ b/packages/runtime/tests/test_replay.py
@@ -141,3 +141,22 @@
         assert collector.received.empty()
         assert peers.counts['messages_repeated'] == 1
         assert peers.counts['messages_unauthenticated'] == 1
+
+
+@settings(derandomize=True, max_examples=200)
+@given(st.binary(max_size=60), st.integers(0, 255))
+def test_a_refused_datagram_changes_nothing_but_its_counter(
+    raw: bytes, number: int
+) -> None:
+    codec = WireCodec({1: Grant, 2: Packet}, [KEY])
+    # The sender declares a type that the receiver refuses or does not have.
+    sender = WireCodec({number: Packet}, [KEY])
+    peers = PeerTask(Datagrams(), codec)
+    collector = Collector()
+    peers.route_others(collector)
+    wrong = raw if number == 2 else sender.encode(Packet(raw))
+    for datagram in (raw, wrong):
+        peers._accept(datagram, Endpoint('127.0.0.1', 1))
+    assert sum(peers.counts.values()) == 2
+    assert not peers._memory
+    assert collector._mailbox.empty()
