Bound the packets that wait for a task and keep it responsive

The mailbox grew without limit when an agent was overloaded, and control messages queued behind packets. A task ticked only when its mailbox was empty, and a loop that always found a datagram never yielded to other greenlets, so heartbeats stopped under load. An agent whose flow task failed to start went on without it.

Tasks tick in time under any load, and receiving loops yield after 64 messages. A failed start of the flows ends the agent.

--- a/packages/daemon/src/persimmonreach/daemon/_agent_process.py
+++ b/packages/daemon/src/persimmonreach/daemon/_agent_process.py
@@ -45,7 +45,7 @@
 from persimmonreach.packets.adapters import UdpBackendServer, UdpFabric
 from persimmonreach.routing import DrainRequested
 from persimmonreach.routing.tasks import AgentLinks, BackendMonitorTask, FlowTask
-from persimmonreach.runtime import PeerTask, UdpSocket
+from persimmonreach.runtime import PeerTask, UdpSocket, end_process
 
 _DRAIN_POLL_S: Final = 0.05
 _MILLISECONDS: Final = 1000
@@ -95,6 +95,8 @@
         with ExitStack() as stack:
             peers = self._start_endpoints(stack, status)
             starter = gevent.spawn(self._start_flows, stack, peers, status)
+            # An agent whose flow task cannot start must not look alive.
+            starter.link_exception(end_process)
             stop.wait()
             if starter.ready():
                 self._drain(starter.get())
--- a/packages/routing/src/persimmonreach/routing/tasks.py
+++ b/packages/routing/src/persimmonreach/routing/tasks.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Final, NamedTuple
 
+import gevent
+
 from persimmonreach.admission import BackendReported, BackendState
 from persimmonreach.core import Action, Clock, Count, Deliver, Reply, Send, Tick
 from persimmonreach.membership import MemberState, StateAnnounced
@@ -18,7 +20,7 @@
     ConnectionsRead,
 )
 from persimmonreach.routing._entry import EntryRouter, Forward
-from persimmonreach.runtime import PeerTransport, Task
+from persimmonreach.runtime import BATCH, PeerTransport, Task
 
 _TICK_S: Final = 0.1
 _POLL_S: Final = 0.25
@@ -77,13 +79,19 @@
 
     def _receive_packets(self) -> None:
         while True:
-            route = self._router.route(self._fabric.receive())
-            if isinstance(route, Forward):
-                self._peers.send(route.to, route.message)
-                self._forwarded += 1
-            else:
-                count = self._dropped.get(route.counter, 0)
-                self._dropped[route.counter] = count + 1
+            for _ in range(BATCH):
+                self._forward(self._fabric.receive())
+            # A fabric that always has a packet never makes its reader wait.
+            gevent.sleep(0)
+
+    def _forward(self, packet: bytes) -> None:
+        route = self._router.route(packet)
+        if isinstance(route, Forward):
+            self._peers.send(route.to, route.message)
+            self._forwarded += 1
+        else:
+            count = self._dropped.get(route.counter, 0)
+            self._dropped[route.counter] = count + 1
 
 
 class AgentLinks(NamedTuple):
@@ -121,8 +129,8 @@
 
     @property
     def counts(self) -> Mapping[str, int]:
-        """Figures counted by the decisions."""
-        return self._counts
+        """Figures counted by the decisions, and packets dropped before them."""
+        return {**self._counts, 'packets_overload': self.dropped_packets}
 
     @property
     def backend(self) -> BackendServer:
@@ -164,7 +172,9 @@
 
     def _receive_packets(self) -> None:
         while True:
-            self.receive(BackendPacketArrived(self._links.backend.receive()))
+            for _ in range(BATCH):
+                self.receive(BackendPacketArrived(self._links.backend.receive()))
+            gevent.sleep(0)
 
 
 class BackendMonitorTask(Task):
--- a/packages/runtime/src/persimmonreach/runtime/__init__.py
+++ b/packages/runtime/src/persimmonreach/runtime/__init__.py
@@ -9,10 +9,11 @@
     WireError,
 )
 from persimmonreach.runtime._peer import PeerTask, PeerTransport
-from persimmonreach.runtime._task import Task
+from persimmonreach.runtime._task import BATCH, Task, end_process
 from persimmonreach.runtime._transport import DatagramSocket, UdpSocket
 
 __all__ = (
+    'BATCH',
     'LARGEST_WINDOW_S',
     'DatagramSocket',
     'EnvelopeError',
@@ -24,4 +25,5 @@
     'UdpSocket',
     'WireCodec',
     'WireError',
+    'end_process',
 )
--- a/packages/runtime/src/persimmonreach/runtime/_peer.py
+++ b/packages/runtime/src/persimmonreach/runtime/_peer.py
@@ -6,6 +6,8 @@
 from types import MappingProxyType
 from typing import Any, Final, final
 
+import gevent
+
 from persimmonreach.core import Endpoint, MonotonicClock, Received
 from persimmonreach.runtime._codec import (
     LARGEST_WINDOW_S,
@@ -16,7 +18,7 @@
     message_tag,
 )
 from persimmonreach.runtime._replay import ReplayMemory
-from persimmonreach.runtime._task import Task
+from persimmonreach.runtime._task import BATCH, Task
 from persimmonreach.runtime._transport import DatagramSocket
 
 _REPEATED: Final = 'messages_repeated'
@@ -111,8 +113,11 @@
 
     def _receive_datagrams(self) -> None:
         while True:
-            datagram, sender = self._datagrams.receive()
-            self._accept(datagram, sender)
+            for _ in range(BATCH):
+                datagram, sender = self._datagrams.receive()
+                self._accept(datagram, sender)
+            # A socket that always has a datagram never makes its reader wait.
+            gevent.sleep(0)
 
     def _accept(self, datagram: bytes, sender: Endpoint) -> None:
         try:
@@ -131,8 +136,11 @@
         return not self._memory.admit(message_tag(datagram), self._clock.now())
 
     def _dispatch(self, received: Received) -> None:
-        task = self._routes.get(type(received.message), self._default_route)
+        message_type = type(received.message)
+        task = self._routes.get(message_type, self._default_route)
         if task is None:
             self._refused[_UNEXPECTED] += 1
+        elif message_type in self._packet_types:
+            task.post_packet(received)
         else:
             task.post(received)
--- a/packages/runtime/src/persimmonreach/runtime/_task.py
+++ b/packages/runtime/src/persimmonreach/runtime/_task.py
@@ -1,11 +1,18 @@
 """Base class of the tasks that own sockets and state."""
 
+import time
 from abc import ABC, abstractmethod
 from contextlib import ExitStack
-from typing import Any, Self
+from typing import Any, Final, Self
 
 import gevent
-from gevent.queue import Empty, Queue
+
+from persimmonreach.runtime._mailbox import Mailbox
+
+# Messages handled, or datagrams received, before other greenlets run. A loop
+# that always finds more to do would otherwise keep the process from sending
+# heartbeats.
+BATCH: Final = 64
 
 
 class Task(ABC):
@@ -23,7 +30,7 @@
 
     def __init__(self, tick_seconds: float) -> None:
         self._tick_seconds = tick_seconds
-        self._mailbox: Queue = Queue()
+        self._mailbox = Mailbox()
         self._resources = ExitStack()
         self._greenlets: list[gevent.Greenlet] = []
 
@@ -36,16 +43,31 @@
         """Stop the task and close what it opened."""
         self.stop()
 
+    @property
+    def dropped_packets(self) -> int:
+        """Packets dropped because the task was overloaded."""
+        return self._mailbox.dropped
+
     def post(self, message: Any) -> None:
-        """Put a message into the mailbox; never blocks."""
-        self._mailbox.put_nowait(message)
+        """Put a control message into the mailbox; never blocks or drops."""
+        self._mailbox.put(message)
+
+    def post_packet(self, message: Any) -> None:
+        """Put a message that carries a packet into the mailbox; never blocks.
+
+        The message is dropped and counted if too many packets wait.
+        """
+        self._mailbox.put_packet(message)
 
     def start(self) -> None:
         """Start the greenlet of the task."""
         self._spawn(self._run)
 
     def stop(self) -> None:
-        """End the greenlets of the task and close what it opened."""
+        """End the greenlets, then close what the task opened.
+
+        Messages that still wait are not handled. Stopping twice does no harm.
+        """
         gevent.killall(self._greenlets)
         self._resources.close()
 
@@ -59,24 +81,29 @@
 
     def _spawn(self, function: Any) -> None:
         greenlet = gevent.spawn(function)
-        greenlet.link_exception(_end_process)
+        greenlet.link_exception(end_process)
         self._greenlets.append(greenlet)
 
     def _run(self) -> None:
-        deadline = gevent.get_hub().loop.now() + self._tick_seconds
+        tick_at = time.monotonic() + self._tick_seconds
         while True:
-            remaining = deadline - gevent.get_hub().loop.now()
-            try:
-                message = self._mailbox.get(timeout=max(remaining, 0))
-            except Empty:
-                gevent.get_hub().loop.update_now()
-                deadline = gevent.get_hub().loop.now() + self._tick_seconds
+            self._mailbox.wait(max(tick_at - time.monotonic(), 0))
+            self._receive_batch()
+            # Ticks come in time however many messages wait.
+            if time.monotonic() >= tick_at:
+                tick_at = time.monotonic() + self._tick_seconds
                 self.tick()
-            else:
-                self.receive(message)
+
+    def _receive_batch(self) -> None:
+        for _ in range(BATCH):
+            message = self._mailbox.take()
+            if message is None:
+                return
+            self.receive(message)
+        gevent.sleep(0)
 
 
-def _end_process(greenlet: gevent.Greenlet) -> None:
+def end_process(greenlet: gevent.Greenlet) -> None:
     """Raise the error of a failed task in the main greenlet.
 
     A process that goes on without one of its tasks would look healthy to the
--- a/packages/runtime/tests/test_replay.py
+++ b/packages/runtime/tests/test_replay.py
@@ -159,4 +159,4 @@
         peers._accept(datagram, Endpoint('127.0.0.1', 1))
     assert sum(peers.counts.values()) == 2
     assert not peers._memory
-    assert collector._mailbox.empty()
+    assert not collector._mailbox
