Read packet headers with two fixed structures

Half of an agent's work on a caller's packet was reading its header in slices and passing its actions through the translation between slices, which such packets never need.

The header codec unpacks the IPv4 and TCP fields with one structure each, and actions that are all for the outside are returned as they are.

--- a/packages/packets/src/persimmonreach/packets/_header.py
+++ b/packages/packets/src/persimmonreach/packets/_header.py
@@ -2,7 +2,7 @@
 
 from abc import ABC, abstractmethod
 from struct import Struct
-from typing import Final, NamedTuple
+from typing import Any, Final, NamedTuple
 
 from persimmonreach.core import FlowKey
 
@@ -17,10 +17,11 @@
 _TCP_PROTOCOL: Final = 6
 _WORD_BYTES: Final = 4
 _FRAGMENT_MASK: Final = 0x3FFF
-_PORTS: Final = Struct('!HH')
-# Both addresses in the IPv4 header.
-_ADDRESSES: Final = slice(-8, None)
-_SEQUENCES: Final = Struct('!HHIIBB')
+# Version and header length, total length, fragment, protocol, both addresses.
+_IPV4: Final = Struct('!BxHxxHxBxx4s4s')
+# Both ports, both sequence numbers, data offset, flags.
+_TCP: Final = Struct('!2s2sIIBB')
+_KEY_PROTOCOL: Final = bytes((6,))
 _SEQUENCE_MODULUS: Final = 0x100000000
 _HEADER_WORDS_MASK: Final = 0x0F
 _IPV4_VERSION: Final = 4
@@ -100,61 +101,42 @@
 
     def read_inbound(self, packet: bytes) -> PacketHeader:
         """Read a packet from a caller."""
-        offset = _tcp_offset(packet)
-        addresses = packet[:_IPV4_MIN_BYTES][_ADDRESSES]
-        ports = packet[offset : offset + _WORD_BYTES]
-        key = b''.join(
-            (
-                b'\x06',
-                addresses[:4],
-                ports[:2],
-                addresses[4:],
-                ports[2:],
-            )
-        )
-        return _header(packet, offset, FlowKey(key))
+        ip = _read_ipv4(packet)
+        tcp = _TCP.unpack_from(packet, _tcp_offset(ip))
+        key = _KEY_PROTOCOL + ip[4] + tcp[0] + ip[5] + tcp[1]
+        return _header(ip, tcp, FlowKey(key))
 
     def read_outbound(self, packet: bytes) -> PacketHeader:
         """Read a packet toward a caller; the flow key is the inbound one."""
-        offset = _tcp_offset(packet)
-        addresses = packet[:_IPV4_MIN_BYTES][_ADDRESSES]
-        ports = packet[offset : offset + _WORD_BYTES]
-        key = b''.join(
-            (
-                b'\x06',
-                addresses[4:],
-                ports[2:],
-                addresses[:4],
-                ports[:2],
-            )
-        )
-        return _header(packet, offset, FlowKey(key))
-
-
-def _tcp_offset(packet: bytes) -> int:
+        ip = _read_ipv4(packet)
+        tcp = _TCP.unpack_from(packet, _tcp_offset(ip))
+        key = _KEY_PROTOCOL + ip[5] + tcp[1] + ip[4] + tcp[0]
+        return _header(ip, tcp, FlowKey(key))
+
+
+def _read_ipv4(packet: bytes) -> tuple[Any, ...]:
     if len(packet) < _IPV4_MIN_BYTES + _TCP_MIN_BYTES:
         raise PacketError('packet is shorter than its headers')
-    if packet[0] >> 4 != _IPV4_VERSION or packet[9] != _TCP_PROTOCOL:
+    ip = _IPV4.unpack_from(packet)
+    if ip[0] >> 4 != _IPV4_VERSION or ip[3] != _TCP_PROTOCOL:
         raise PacketError('packet is not TCP over IPv4')
-    if int.from_bytes(packet[6:8]) & _FRAGMENT_MASK:
+    if ip[2] & _FRAGMENT_MASK:
         raise PacketError('packet is a fragment')
-    offset = (packet[0] & _HEADER_WORDS_MASK) * _WORD_BYTES
-    if offset < _IPV4_MIN_BYTES or len(packet) < offset + _TCP_MIN_BYTES:
+    if not _tcp_offset(ip) + _TCP_MIN_BYTES <= ip[1] <= len(packet):
+        raise PacketError('packet is truncated')
+    return ip
+
+
+def _tcp_offset(ip: tuple[Any, ...]) -> int:
+    offset = (ip[0] & _HEADER_WORDS_MASK) * _WORD_BYTES
+    if offset < _IPV4_MIN_BYTES:
         raise PacketError('header length is invalid')
     return offset
 
 
-def _header(packet: bytes, offset: int, key: FlowKey) -> PacketHeader:
-    fields = _SEQUENCES.unpack_from(packet, offset)
-    total = int.from_bytes(packet[2:4])
-    start = offset + (fields[4] >> 4) * _WORD_BYTES
-    if start < offset + _TCP_MIN_BYTES or start > total or total > len(packet):
-        raise PacketError('packet is truncated')
-    return PacketHeader(
-        key=key,
-        flags=fields[5],
-        sequence=fields[2],
-        acknowledgement=fields[3],
-        payload_offset=start,
-        payload_size=total - start,
-    )
+def _header(ip: tuple[Any, ...], tcp: tuple[Any, ...], key: FlowKey) -> PacketHeader:
+    offset = _tcp_offset(ip)
+    start = offset + (tcp[4] >> 4) * _WORD_BYTES
+    if not offset + _TCP_MIN_BYTES <= start <= ip[1]:
+        raise PacketError('header length is invalid')
+    return PacketHeader(key, tcp[5], tcp[2], tcp[3], start, ip[1] - start)
--- a/packages/routing/src/persimmonreach/routing/_translation.py
+++ b/packages/routing/src/persimmonreach/routing/_translation.py
@@ -1,7 +1,6 @@
 """Hands the actions that one slice addresses to another to that slice."""
 
 from collections import deque
-from collections.abc import Iterable
 from types import MappingProxyType
 
 from persimmonreach.admission import (
@@ -65,8 +64,15 @@
             },
         )
 
-    def translate(self, actions: Iterable[Action], now: float) -> tuple[Action, ...]:
+    def translate(
+        self,
+        actions: tuple[Action, ...],
+        now: float,
+    ) -> tuple[Action, ...]:
         """Return the actions for the outside that ``actions`` lead to."""
+        # Packets of local flows lead to actions for the outside only.
+        if self._translations.keys().isdisjoint(map(type, actions)):
+            return actions
         pending = deque(actions)
         outside: list[Action] = []
         while pending:
