--- a/packages/daemon/src/persimmonreach/daemon/_agent_process.py
+++ b/packages/daemon/src/persimmonreach/daemon/_agent_process.py
@@ -90,7 +90,7 @@
             If an address of the settings cannot be bound.
 
         """
-        stop = StopSignal()
+        stop = StopSignal(self._logger)
         status = AgentStatusSource(self._settings, self._configuration, self._clock)
         with ExitStack() as stack:
             peers = self._start_endpoints(stack, status)
--- a/packages/daemon/src/persimmonreach/daemon/_entry_process.py
+++ b/packages/daemon/src/persimmonreach/daemon/_entry_process.py
@@ -74,7 +74,7 @@
             If an address of the settings cannot be bound.
 
         """
-        stop = StopSignal()
+        stop = StopSignal(self._logger)
         with ExitStack() as stack:
             status = self._start(stack)
             stop.wait()
--- a/packages/daemon/src/persimmonreach/daemon/main.py
+++ b/packages/daemon/src/persimmonreach/daemon/main.py
@@ -12,11 +12,8 @@
 from persimmonreach.core import FindingsError
 from persimmonreach.daemon._agent_process import AgentProcess
 from persimmonreach.daemon._entry_process import EntryProcess
-from persimmonreach.daemon._settings import (
-    AgentSettings,
-    EntrySettings,
-    read_settings,
-)
+from persimmonreach.daemon._settings import AgentSettings, EntrySettings
+from persimmonreach.daemon._settings_reader import read_settings
 
 EXIT_DONE: Final = 0
 EXIT_FINDINGS: Final = 2
--- a/packages/daemon/tests/test_decoders.py
+++ b/packages/daemon/tests/test_decoders.py
@@ -10,11 +10,8 @@
 from hypothesis import strategies as st
 
 from persimmonreach.core import Endpoint, FindingsError
-from persimmonreach.daemon._settings import (
-    AgentSettings,
-    EntrySettings,
-    convert_settings,
-)
+from persimmonreach.daemon._settings import AgentSettings, EntrySettings
+from persimmonreach.daemon._settings_reader import convert_settings
 from persimmonreach.daemon._wire import make_codec
 from persimmonreach.packets import (
     ACK,
--- /dev/null
+++ b/packages/daemon/tests/test_processes.py
@@ -0,0 +1,157 @@
+"""Guards against interrupted requests and abrupt ends of the real processes."""
+
+import signal
+import sys
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import gevent
+import pytest
+
+from persimmonreach.core import MonotonicClock
+from persimmonreach.standins._caller_journal import CallOutcome
+from persimmonreach.standins._caller_task import (
+    CallerGroup,
+    CallersSettings,
+    CallersTask,
+    StopCalling,
+)
+from persimmonreach.standins._capacity import ServerState
+from persimmonreach.standins._deployments import Deployment, ServicePlan
+from persimmonreach.standins._platform import Platform
+from persimmonreach.standins._process import HttpError, http_json, http_status
+from persimmonreach.standins._processes import Child, Fleet, run_command
+
+WAIT_S = 60
+STATUS_S = 10
+SERVICE = ServicePlan('orders', '10.9.0.1', servers=1, slots=3)
+DEPLOYMENT = Deployment('edges', 'Edges', ('zone-a',), 0, SERVICE, SERVICE)
+# Long enough for the signal to arrive while the request runs.
+SERVICE_MS = 1500
+
+
+class EdgePlatform(Platform):
+    """Ends a shutdown soon: a single agent can hand its buckets to nobody."""
+
+    def _agent_settings(self, name: str, zone: str, backend: Child) -> dict[str, Any]:
+        settings = super()._agent_settings(name, zone, backend)
+        return {**settings, 'shutdown_s': 4}
+
+
+class Processes:
+    """Store, fabric, entry instance, backend server and agent."""
+
+    def __init__(self, directory: Path, fleet: Fleet) -> None:
+        self.directory = directory
+        self.fleet = fleet
+        self.platform = EdgePlatform(DEPLOYMENT, fleet)
+
+    @property
+    def entry(self) -> Child:
+        return self.platform.entries[0][1]
+
+    @property
+    def agent(self) -> Child:
+        return self.platform.servers[0].agent
+
+    @property
+    def runs(self) -> dict[str, Any]:
+        backend = self.platform.servers[0].backend
+        return http_json(backend.endpoint('http'), '/journal')['runs']
+
+    def start(self) -> None:
+        self.platform.start_network(
+            [sys.executable, '-m', 'persimmonreach.standins.store', '--port', '0']
+        )
+        declarations = self.directory / 'declarations'
+        declarations.mkdir()
+        self.fleet.write('declarations/zones.json', {'availability_zones': ['zone-a']})
+        self.fleet.write('declarations/orders.service.json', SERVICE.declaration(100))
+        store = self.platform.store_address
+        run_command('publish', str(declarations), '--yes', '--store', store)
+        server = self.platform.add_server(SERVICE, 'zone-a', ServerState.WARM)
+        wait_until(lambda: self.ready(self.entry) and self.ready(server.agent))
+        fabric = self.platform.fabric.endpoint('http')
+        wait_until(lambda: http_json(fabric, '/status')['ready'])
+
+    def ready(self, child: Child) -> bool:
+        return http_status(child.endpoint('http'), '/ready', STATUS_S) == 200
+
+    def callers(self) -> CallersTask:
+        group = CallerGroup(
+            SERVICE.address, ('10.1.0.1',), flows=1, period_s=0.2, deadline_s=5
+        )
+        fabric = self.platform.fabric.endpoint('port')
+        return CallersTask(CallersSettings(fabric, (group,)), MonotonicClock())
+
+
+def wait_until(condition: Callable[[], Any]) -> None:
+    with gevent.Timeout(WAIT_S):
+        while not _holds(condition):
+            gevent.sleep(0.02)
+
+
+def _holds(condition: Callable[[], Any]) -> bool:
+    try:
+        return bool(condition())
+    except HttpError:
+        return False
+
+
+@pytest.fixture(scope='module')
+def processes(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Processes]:
+    directory = tmp_path_factory.mktemp('processes')
+    fleet = Fleet(directory)
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr('persimmonreach.standins._platform._SERVICE_MS', SERVICE_MS)
+        try:
+            started = Processes(directory, fleet)
+            started.start()
+            yield started
+        finally:
+            fleet.stop()
+
+
+def test_reload_signal_is_refused_with_a_log_line(processes: Processes) -> None:
+    for child in (processes.entry, processes.agent):
+        child.process.send_signal(signal.SIGHUP)
+        log = processes.directory / f'{child.name}.log'
+        wait_until(lambda path=log: 'reload_refused' in path.read_text())
+        assert processes.ready(child)
+
+
+def test_planned_stops_interrupt_no_request_and_withdraw_first(
+    processes: Processes,
+) -> None:
+    with processes.callers() as callers:
+        requests = callers.journal['requests']
+        wait_until(lambda: any(r['outcome'] == 'answered' for r in requests.values()))
+        wait_until(lambda: _is_running(requests, processes.runs))
+        callers.post(StopCalling())
+        processes.agent.process.send_signal(signal.SIGTERM)
+        with gevent.Timeout(WAIT_S):
+            assert processes.agent.process.wait() == 0
+        wait_until(lambda: all(row['ended_at'] for row in requests.values()))
+    outcomes = [row['outcome'] for row in requests.values()]
+    assert set(outcomes) == {CallOutcome.ANSWERED}
+    # Every request ran once, also the one that ran during the stop.
+    assert all(row['count'] == 1 for row in processes.runs.values())
+
+    entry = processes.entry
+    entry.process.send_signal(signal.SIGTERM)
+    statuses: list[int] = []
+    with gevent.Timeout(WAIT_S):
+        while entry.process.poll() is None:
+            statuses.append(http_status(entry.endpoint('http'), '/ready', STATUS_S))
+    changed = [status for status in statuses if status != 200]
+    assert changed[0] == 503
+    assert entry.process.returncode == 0
+
+
+def _is_running(requests: dict[str, Any], runs: dict[str, Any]) -> bool:
+    return any(
+        name in runs
+        for name, row in requests.items()
+        if row['outcome'] == CallOutcome.OPEN
+    )
