Number delegated attempts apart and drop malformed frames

Attempts for other agents share the agent's own flow to its backend server, and their replies were told apart by request id and attempt number. A request id is unique within its caller's flow only, so two callers with equal ids got each other's answer, and a cancellation could hit the other request. The own flow stayed "open" after the backend server had reset it. A malformed frame was passed to the backend server as if it were opaque, which could then run a request without a record. A connection key of another protocol in the backend server's list, or a state that is not agreed on, ended the agent's process.

Attempts on the own flow get numbers of their own that rise with the time, so that answers to a former incarnation match none. The own flow is opened again after RST or FIN. Malformed frames are dropped and counted in both directions; frames of unknown types pass. Unreadable connections and unknown states are counted and otherwise ignored.

--- a/packages/packets/src/persimmonreach/packets/__init__.py
+++ b/packages/packets/src/persimmonreach/packets/__init__.py
@@ -8,12 +8,14 @@
     build_reset,
     flow_ends,
     flow_key,
+    is_flow_key,
     previous_sequence,
 )
 from persimmonreach.packets._frames import (
     FrameCodec,
     FrameError,
     MsgpackFrameCodec,
+    UnknownFrameError,
 )
 from persimmonreach.packets._header import (
     ACK,
@@ -56,10 +58,12 @@
     'RefusalFrame',
     'RequestFrame',
     'Segment',
+    'UnknownFrameError',
     'build_inbound',
     'build_outbound',
     'build_reset',
     'flow_ends',
     'flow_key',
+    'is_flow_key',
     'previous_sequence',
 )
--- a/packages/packets/src/persimmonreach/packets/_builder.py
+++ b/packages/packets/src/persimmonreach/packets/_builder.py
@@ -64,6 +64,11 @@
     )
 
 
+def is_flow_key(key: bytes) -> bool:
+    """Return whether ``key`` is the key of a TCP flow over IPv4."""
+    return len(key) == _IPV4_FLOW_KEY.size and key[0] == _TCP_PROTOCOL
+
+
 def build_inbound(key: FlowKey, segment: Segment) -> bytes:
     """Return a packet from the caller to the service."""
     ends = flow_ends(key)
--- a/packages/packets/src/persimmonreach/packets/_frames.py
+++ b/packages/packets/src/persimmonreach/packets/_frames.py
@@ -15,6 +15,10 @@
     """A payload that claims to be a frame is malformed."""
 
 
+class UnknownFrameError(FrameError):
+    """A payload has the prefix of a frame of a type that is not known here."""
+
+
 class FrameCodec(ABC):
     """Reads and writes frames."""
 
@@ -28,6 +32,8 @@
 
         Raises
         ------
+        UnknownFrameError
+            If the payload has the prefix of a frame and an unknown type.
         FrameError
             If the payload has the prefix of a frame and is malformed.
 
@@ -56,10 +62,12 @@
         if not payload.startswith(_MAGIC):
             return None
         number = payload[len(_MAGIC) : len(_MAGIC) + 1]
-        decoder = self._decoders.get(number[0]) if number else None
+        if not number:
+            raise FrameError('frame without a type')
+        decoder = self._decoders.get(number[0])
         if decoder is None:
-            raise FrameError('unknown frame type')
+            raise UnknownFrameError('unknown frame type')
         try:
             return decoder.decode(payload[len(_MAGIC) + 1 :])
-        except msgspec.DecodeError as error:
+        except ValueError as error:
             raise FrameError(str(error)) from error
--- a/packages/routing/src/persimmonreach/routing/_agent.py
+++ b/packages/routing/src/persimmonreach/routing/_agent.py
@@ -22,7 +22,7 @@
     ViewConfirmed,
 )
 from persimmonreach.ownership import LocalFlowsAdopted, PacketArrived
-from persimmonreach.packets import ForwardedPacket, PacketError
+from persimmonreach.packets import ForwardedPacket, PacketError, is_flow_key
 from persimmonreach.requests import BackendLost, DrainStarted
 from persimmonreach.routing._agent_events import (
     BackendPacketArrived,
@@ -163,13 +163,18 @@
         event: ConnectionsRead,
         now: float,
     ) -> tuple[Action, ...]:
+        # Only flows that packets can be built for; another key would make
+        # each later probe or reset of the flow fail.
+        readable = tuple(key for key in event.keys if is_flow_key(key))
         keys = tuple(
             key
-            for key in event.keys
+            for key in readable
             if key != self._parts.own_key and not self._parts.flows.holds(key)
         )
         adopted = self._parts.flows.handle(AdoptFlows(keys), now)
-        return adopted + self._parts.ownership.handle(LocalFlowsAdopted(keys), now)
+        unreadable = Count('connections_unreadable', len(event.keys) - len(readable))
+        owned = self._parts.ownership.handle(LocalFlowsAdopted(keys), now)
+        return (*adopted, unreadable, *owned)
 
     def _on_report(self, event: BackendReported, now: float) -> tuple[Action, ...]:
         actions = self._parts.requests.handle(event, now)
--- a/packages/routing/src/persimmonreach/routing/_packet_path.py
+++ b/packages/routing/src/persimmonreach/routing/_packet_path.py
@@ -6,7 +6,9 @@
 from persimmonreach.flows import BackendPacket, CallerPacket, FlowTable, OpenFlow
 from persimmonreach.packets import (
     ACK,
+    FIN,
     PSH,
+    RST,
     SYN,
     AnswerFrame,
     CancelFrame,
@@ -18,6 +20,7 @@
     RefusalFrame,
     RequestFrame,
     Segment,
+    UnknownFrameError,
     build_inbound,
     build_outbound,
 )
@@ -30,11 +33,14 @@
     RequestArrived,
     RunAttempt,
 )
+from persimmonreach.routing._delegated import Attempt, DelegatedAttempts
 
 _FRAME_FLAGS: Final = PSH | ACK
-# Attempts for other agents whose replies are awaited; older ones have long
-# passed their deadline.
-_LARGEST_DELEGATED: Final = 4096
+_CLOSING_FLAGS: Final = FIN | RST
+
+
+class _Unreadable(NamedTuple):
+    """Payload with the prefix of a frame that cannot be read."""
 
 
 class Codecs(NamedTuple):
@@ -47,6 +53,11 @@
 class PacketPath:
     """Moves packets of local flows and takes the frames out of them.
 
+    A frame of an unknown type is passed through, since caller and backend
+    server may use a later version of the frames. A malformed frame of a known
+    type is dropped in both directions: a backend server that reads it more
+    leniently would run a request that is not on record.
+
     Parameters
     ----------
     codecs
@@ -73,7 +84,7 @@
         self._requests = requests
         self._own_key = own_key
         self._own_flow_open = False
-        self._delegated: dict[tuple[bytes, int], FlowKey] = {}
+        self._delegated = DelegatedAttempts()
 
     def open_flow(self, key: FlowKey, packet: bytes, now: float) -> tuple[Action, ...]:
         """Open a new flow and deliver its first packet."""
@@ -89,9 +100,7 @@
     ) -> tuple[Action, ...]:
         """Deliver a caller's packet, or hand its frame to the requests."""
         noted = self._flows.handle(CallerPacket(header), now)
-        if not header.payload_size:
-            return (Deliver(packet), *noted)
-        frame = self._decode(header, packet)
+        frame = self._decode(header, packet) if header.payload_size else None
         if frame is None:
             return (Deliver(packet), *noted)
         key = header.key
@@ -100,7 +109,7 @@
             return noted + self._requests.handle(arrived, now)
         if isinstance(frame, CancelFrame):
             return noted + self._requests.handle(CancelArrived(key, frame), now)
-        return (Count('frames_unexpected'), *noted)
+        return (_count_dropped(frame), *noted)
 
     def from_backend(self, packet: bytes, now: float) -> tuple[Action, ...]:
         """Send a packet toward its caller, or hand its frame to the requests."""
@@ -110,24 +119,24 @@
             return (Count('packets_malformed'),)
         noted = self._flows.handle(BackendPacket(header), now)
         frame = self._decode(header, packet) if header.payload_size else None
-        if isinstance(frame, AnswerFrame):
-            answered = BackendAnswered(self._origin(header.key, frame), frame)
-            return noted + self._requests.handle(answered, now)
-        if isinstance(frame, RefusalFrame):
-            refused = BackendRefused(self._origin(header.key, frame), frame)
-            return noted + self._requests.handle(refused, now)
+        if isinstance(frame, AnswerFrame | RefusalFrame):
+            return noted + self._from_attempt(header.key, frame, now)
+        if frame is not None:
+            return (_count_dropped(frame), *noted)
         if header.key == self._own_key:
+            if header.flags & _CLOSING_FLAGS:
+                self._own_flow_open = False
             return noted
         return (Reply(packet), *noted)
 
     def run_attempt(self, action: RunAttempt, now: float) -> tuple[Action, ...]:
         """Hand an attempt to the backend server on the right flow."""
+        frame = action.frame
         if self._flows.holds(action.key):
-            return (self._deliver_frame(action.key, action.frame),)
-        if len(self._delegated) >= _LARGEST_DELEGATED:
-            self._delegated.pop(next(iter(self._delegated)))
-        self._delegated[action.frame.request_id, action.frame.attempt] = action.key
-        carried = self._deliver_frame(self._own_key, action.frame)
+            return (self._deliver_frame(action.key, frame),)
+        attempt = Attempt(action.key, frame.request_id, frame.attempt)
+        number = self._delegated.number(attempt, now)
+        carried = self._deliver_frame(self._own_key, frame._replace(attempt=number))
         if self._own_flow_open:
             return (carried,)
         self._own_flow_open = True
@@ -135,10 +144,12 @@
 
     def cancel_attempt(self, action: CancelAttempt, now: float) -> tuple[Action, ...]:
         """Tell the backend server that no answer is needed."""
-        local = self._flows.holds(action.key)
-        return (
-            self._deliver_frame(action.key if local else self._own_key, action.frame),
-        )
+        frame = action.frame
+        attempt = Attempt(action.key, frame.request_id, frame.attempt)
+        number = self._delegated.find_number(attempt)
+        if number is None:
+            return (self._deliver_frame(action.key, frame),)
+        return (self._deliver_frame(self._own_key, frame._replace(attempt=number)),)
 
     def reply_frame(self, action: ReplyFrame, now: float) -> tuple[Action, ...]:
         """Send a frame toward the caller."""
@@ -154,10 +165,29 @@
         end = header.payload_offset + header.payload_size
         try:
             return self._codecs.frames.decode(packet[header.payload_offset : end])
-        except FrameError:
+        except UnknownFrameError:
             return None
+        except FrameError:
+            return _Unreadable()
+
+    def _from_attempt(
+        self,
+        key: FlowKey,
+        frame: AnswerFrame | RefusalFrame,
+        now: float,
+    ) -> tuple[Action, ...]:
+        if key == self._own_key:
+            attempt = self._delegated.find(frame.request_id, frame.attempt)
+            if attempt is None:
+                return (Count('answers_dropped'),)
+            key = attempt.key
+            frame = frame._replace(attempt=attempt.attempt)
+        if isinstance(frame, AnswerFrame):
+            return self._requests.handle(BackendAnswered(key, frame), now)
+        return self._requests.handle(BackendRefused(key, frame), now)
+
 
-    def _origin(self, key: FlowKey, frame: AnswerFrame | RefusalFrame) -> FlowKey:
-        if key != self._own_key:
-            return key
-        return self._delegated.get((frame.request_id, frame.attempt), key)
+def _count_dropped(frame: Any) -> Count:
+    if isinstance(frame, _Unreadable):
+        return Count('frames_malformed')
+    return Count('frames_unexpected')
--- a/packages/routing/src/persimmonreach/routing/tasks.py
+++ b/packages/routing/src/persimmonreach/routing/tasks.py
@@ -1,6 +1,7 @@
 """Tasks of the packet path: fabric side, flows of an agent, backend server."""
 
 from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import Any, Final, NamedTuple
 
 import gevent
@@ -23,6 +24,7 @@
 from persimmonreach.runtime import BATCH, PeerTransport, Task
 
 _TICK_S: Final = 0.1
+_STATES: Final = MappingProxyType({str(state): state for state in BackendState})
 _POLL_S: Final = 0.25
 # A backend server that misses this many polls in a row is taken for dead.
 _LOST_AFTER_POLLS: Final = 6
@@ -228,5 +230,10 @@
             self._sink(StateAnnounced(MemberState.ACTIVE))
         status = self._backend.read_status()
         self._missed = 0
-        state = BackendState(status.state)
-        self._flows.post(BackendReported(state, status.load))
+        state = _STATES.get(status.state)
+        if state is None:
+            # The backend server answers, so neither its flows nor the agent
+            # may be ended for a state that is not agreed on.
+            self._sink(Count('backend_states_unknown'))
+        else:
+            self._flows.post(BackendReported(state, status.load))
