--- a/packages/daemon/src/persimmonreach/daemon/_agent_process.py
+++ b/packages/daemon/src/persimmonreach/daemon/_agent_process.py
@@ -21,11 +21,11 @@
 from persimmonreach.daemon._agent_parts import make_router
 from persimmonreach.daemon._agent_status import AgentStatusSource
 from persimmonreach.daemon._dispatch import Dispatcher
-from persimmonreach.daemon._figures import TaskFigures
+from persimmonreach.daemon._figures import TaskFigures, add_counts
 from persimmonreach.daemon._service_waiter import ServiceWaiter, find_service
 from persimmonreach.daemon._settings import AgentSettings, shared_keys
 from persimmonreach.daemon._shutdown import StopSignal
-from persimmonreach.daemon._wire import make_codec
+from persimmonreach.daemon._wire import PACKET_TYPES, make_codec
 from persimmonreach.membership import (
     AgentMembership,
     FlowsCounted,
@@ -40,13 +40,18 @@
 )
 from persimmonreach.membership.messages import MESSAGE_TYPES as MEMBERSHIP_TYPES
 from persimmonreach.membership.tasks import AgentMembershipTask
-from persimmonreach.observability import Counters, configure_logs
+from persimmonreach.observability import (
+    AGENT_PROMISES,
+    Counters,
+    configure_logs,
+    promised_counters,
+)
 from persimmonreach.observability.tasks import HttpEndpoint
 from persimmonreach.packets.adapters import UdpBackendServer, UdpFabric
 from persimmonreach.requests import StopRequested
 from persimmonreach.routing import DrainRequested
 from persimmonreach.routing.tasks import AgentLinks, BackendMonitorTask, FlowTask
-from persimmonreach.runtime import PeerTask, UdpSocket
+from persimmonreach.runtime import PeerTask, UdpSocket, end_process
 
 _DRAIN_POLL_S: Final = 0.05
 _MILLISECONDS: Final = 1000
@@ -74,7 +79,7 @@
     def __init__(self, settings: AgentSettings) -> None:
         self._settings = settings
         self._clock = MonotonicClock()
-        self._counters = Counters()
+        self._counters = Counters(promised_counters(AGENT_PROMISES))
         self._logger = configure_logs(settings.instance)
         self._dispatcher = Dispatcher(self._counters, self._logger)
         self._configuration = AgentConfiguration(
@@ -91,11 +96,13 @@
             If an address of the settings cannot be bound.
 
         """
-        stop = StopSignal()
+        stop = StopSignal(self._logger)
         status = AgentStatusSource(self._settings, self._configuration, self._clock)
         with ExitStack() as stack:
             peers = self._start_endpoints(stack, status)
             starter = gevent.spawn(self._start_flows, stack, peers, status)
+            # An agent whose flow task cannot start must not look alive.
+            starter.link_exception(end_process)
             stop.wait()
             if starter.ready():
                 self._drain(starter.get())
@@ -105,7 +112,8 @@
     def _start_endpoints(self, stack: ExitStack, status: AgentStatusSource) -> PeerTask:
         peers = PeerTask(
             UdpSocket(self._bind(self._settings.peer_port)),
-            make_codec(shared_keys(self._settings)),
+            make_codec(shared_keys(self._settings), self._settings.message_window_s),
+            PACKET_TYPES,
         )
         stack.enter_context(peers)
         http = HttpEndpoint(self._bind(self._settings.http_port), self._counters, status)
@@ -210,15 +218,12 @@
         flows: FlowTask,
         status: AgentStatusSource,
     ) -> None:
-        router = flows.router
         self._counters.register(
             TaskFigures(
-                lambda: {**peers.counts, **flows.counts},
+                lambda: add_counts(peers.counts, flows.counts),
                 lambda: {
-                    'flows': router.flow_count,
-                    'buckets_owned': router.owned_buckets,
-                    'request_limit': router.request_limit,
-                    'draining': int(router.is_draining),
+                    **flows.router.gauges,
+                    'ready': int(status.is_ready()),
                     'configuration_version': self._configuration.configuration.version,
                     'configuration_age_seconds': status.age(),
                 },
@@ -241,6 +246,12 @@
             flows.post(StopRequested())
             while not router.is_sealed:
                 gevent.sleep(_DRAIN_POLL_S)
+        self._logger.info(
+            'drained',
+            requests_left=router.gauges['requests_running'],
+            flows_left=router.flow_count,
+            buckets_left=router.owned_buckets,
+        )
         if not router.flow_count:
             self._dispatcher.accept(StateAnnounced(MemberState.LEFT))
             gevent.sleep(self._settings.membership.heartbeat_s)
--- a/packages/daemon/src/persimmonreach/daemon/_entry_process.py
+++ b/packages/daemon/src/persimmonreach/daemon/_entry_process.py
@@ -31,11 +31,16 @@
 from persimmonreach.daemon._figures import TaskFigures
 from persimmonreach.daemon._settings import EntrySettings, shared_keys
 from persimmonreach.daemon._shutdown import StopSignal
-from persimmonreach.daemon._wire import make_codec
+from persimmonreach.daemon._wire import PACKET_TYPES, make_codec
 from persimmonreach.membership import EntryMembership, ViewChanged
 from persimmonreach.membership.messages import MESSAGE_TYPES as MEMBERSHIP_TYPES
 from persimmonreach.membership.tasks import EntryMembershipTask
-from persimmonreach.observability import Counters, configure_logs
+from persimmonreach.observability import (
+    ENTRY_PROMISES,
+    Counters,
+    configure_logs,
+    promised_counters,
+)
 from persimmonreach.observability.tasks import HttpEndpoint
 from persimmonreach.packets import Ipv4TcpCodec
 from persimmonreach.packets.adapters import UdpFabric
@@ -61,7 +66,7 @@
     def __init__(self, settings: EntrySettings) -> None:
         self._settings = settings
         self._clock = MonotonicClock()
-        self._counters = Counters()
+        self._counters = Counters(promised_counters(ENTRY_PROMISES))
         self._logger = configure_logs(settings.instance)
         self._dispatcher = Dispatcher(self._counters, self._logger)
 
@@ -74,7 +79,7 @@
             If an address of the settings cannot be bound.
 
         """
-        stop = StopSignal()
+        stop = StopSignal(self._logger)
         with ExitStack() as stack:
             status = self._start(stack)
             stop.wait()
@@ -86,7 +91,8 @@
     def _start(self, stack: ExitStack) -> EntryStatusSource:
         peers = PeerTask(
             UdpSocket(self._bind(self._settings.peer_port)),
-            make_codec(shared_keys(self._settings)),
+            make_codec(shared_keys(self._settings), self._settings.message_window_s),
+            PACKET_TYPES,
         )
         entry = EntryInstance(
             EntryId(self._settings.instance),
@@ -102,9 +108,7 @@
             self._dispatcher.accept,
             self._clock,
         )
-        store = HttpStore(self._settings.store)
-        stack.callback(store.close)
-        configuration_task = self._make_configuration_task(state, entry, peers, store)
+        configuration_task = self._make_configuration_task(state, entry, peers, stack)
         self._dispatcher.connect(
             {
                 ConfigurationChanged: (fabric_task, membership_task),
@@ -116,8 +120,9 @@
         peers.connect(dict.fromkeys(CONFIGURATION_TYPES.values(), configuration_task))
         for task in (peers, membership_task, configuration_task, fabric_task):
             stack.enter_context(task)
-        self._publish_figures(state, peers, fabric_task)
-        return self._start_endpoints(stack, state, configuration_task, fabric, peers)
+        status = self._start_endpoints(stack, state, configuration_task, fabric, peers)
+        self._publish_figures(state, status, peers, fabric_task)
+        return status
 
     def _make_state(self, entry: EntryInstance) -> EntryState:
         rng = random.SystemRandom()
@@ -135,8 +140,10 @@
         state: EntryState,
         entry: EntryInstance,
         peers: PeerTask,
-        store: HttpStore,
+        stack: ExitStack,
     ) -> EntryConfigurationTask:
+        store = HttpStore(self._settings.store)
+        stack.callback(store.close)
         publisher = Publisher(
             PublisherSettings(self._settings.instance),
             store,
@@ -155,6 +162,7 @@
     def _publish_figures(
         self,
         state: EntryState,
+        status: EntryStatusSource,
         peers: PeerTask,
         fabric_task: FabricTask,
     ) -> None:
@@ -162,6 +170,8 @@
             TaskFigures(
                 lambda: {**peers.counts, **fabric_task.counts},
                 lambda: {
+                    'ready': int(status.is_ready()),
+                    'zone_in_service': int(state.router.is_zone_in_service),
                     'configuration_version': state.router.configuration.version,
                     'configuration_age_seconds': state.configuration.age(
                         self._clock.now(),
--- a/packages/routing/src/persimmonreach/routing/tasks.py
+++ b/packages/routing/src/persimmonreach/routing/tasks.py
@@ -1,8 +1,11 @@
 """Tasks of the packet path: fabric side, flows of an agent, backend server."""
 
 from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import Any, Final, NamedTuple
 
+import gevent
+
 from persimmonreach.admission import BackendReported, BackendState
 from persimmonreach.core import Action, Clock, Count, Deliver, Reply, Send, Tick
 from persimmonreach.membership import MemberState, StateAnnounced
@@ -18,9 +21,10 @@
     ConnectionsRead,
 )
 from persimmonreach.routing._entry import EntryRouter, Forward
-from persimmonreach.runtime import PeerTransport, Task
+from persimmonreach.runtime import BATCH, PeerTransport, Task
 
 _TICK_S: Final = 0.1
+_STATES: Final = MappingProxyType({str(state): state for state in BackendState})
 _POLL_S: Final = 0.25
 # A backend server that misses this many polls in a row is taken for dead.
 _LOST_AFTER_POLLS: Final = 6
@@ -77,13 +81,19 @@
 
     def _receive_packets(self) -> None:
         while True:
-            route = self._router.route(self._fabric.receive())
-            if isinstance(route, Forward):
-                self._peers.send(route.to, route.message)
-                self._forwarded += 1
-            else:
-                count = self._dropped.get(route.counter, 0)
-                self._dropped[route.counter] = count + 1
+            for _ in range(BATCH):
+                self._forward(self._fabric.receive())
+            # A fabric that always has a packet never makes its reader wait.
+            gevent.sleep(0)
+
+    def _forward(self, packet: bytes) -> None:
+        route = self._router.route(packet)
+        if isinstance(route, Forward):
+            self._peers.send(route.to, route.message)
+            self._forwarded += 1
+        else:
+            count = self._dropped.get(route.counter, 0)
+            self._dropped[route.counter] = count + 1
 
 
 class AgentLinks(NamedTuple):
@@ -121,8 +131,8 @@
 
     @property
     def counts(self) -> Mapping[str, int]:
-        """Figures counted by the decisions."""
-        return self._counts
+        """Figures counted by the decisions, and packets dropped before them."""
+        return {**self._counts, 'packets_overload': self.dropped_packets}
 
     @property
     def backend(self) -> BackendServer:
@@ -164,7 +174,9 @@
 
     def _receive_packets(self) -> None:
         while True:
-            self.receive(BackendPacketArrived(self._links.backend.receive()))
+            for _ in range(BATCH):
+                self.receive(BackendPacketArrived(self._links.backend.receive()))
+            gevent.sleep(0)
 
 
 class BackendMonitorTask(Task):
@@ -218,5 +230,10 @@
             self._sink(StateAnnounced(MemberState.ACTIVE))
         status = self._backend.read_status()
         self._missed = 0
-        state = BackendState(status.state)
-        self._flows.post(BackendReported(state, status.load))
+        state = _STATES.get(status.state)
+        if state is None:
+            # The backend server answers, so neither its flows nor the agent
+            # may be ended for a state that is not agreed on.
+            self._sink(Count('backend_states_unknown'))
+        else:
+            self._flows.post(BackendReported(state, status.load))
--- a/packages/runtime/src/persimmonreach/runtime/__init__.py
+++ b/packages/runtime/src/persimmonreach/runtime/__init__.py
@@ -1,23 +1,29 @@
 """Tasks, wire codec and UDP transport shared by all slices."""
 
 from persimmonreach.runtime._codec import (
+    LARGEST_WINDOW_S,
     EnvelopeError,
     SharedKey,
+    StaleError,
     WireCodec,
     WireError,
 )
 from persimmonreach.runtime._peer import PeerTask, PeerTransport
-from persimmonreach.runtime._task import Task
+from persimmonreach.runtime._task import BATCH, Task, end_process
 from persimmonreach.runtime._transport import DatagramSocket, UdpSocket
 
 __all__ = (
+    'BATCH',
+    'LARGEST_WINDOW_S',
     'DatagramSocket',
     'EnvelopeError',
     'PeerTask',
     'PeerTransport',
     'SharedKey',
+    'StaleError',
     'Task',
     'UdpSocket',
     'WireCodec',
     'WireError',
+    'end_process',
 )
