Drop packets that waited while an entry instance was paused

Cause: an entry instance that wakes after a pause forwarded what had waited in its socket. A copy of a first packet older than a packet copy lives (10 s) was admitted a second time at another agent, on which a copy of a non-idempotent request would have run again.

Change: the entry router notes the time each second and drops packets for 0.5 s after a silence of more than 3 s; callers retransmit. The detection of pauses moves from ownership to core, unchanged.

--- a/packages/core/src/persimmonreach/core/__init__.py
+++ b/packages/core/src/persimmonreach/core/__init__.py
@@ -35,6 +35,7 @@
     StateMachine,
     Tick,
 )
+from persimmonreach.core._pauses import Pauses
 
 __all__ = (
     'BUCKETS_PER_SERVICE',
@@ -54,6 +55,7 @@
     'Incarnation',
     'ManualClock',
     'MonotonicClock',
+    'Pauses',
     'Received',
     'Reply',
     'Send',
--- a/packages/ownership/src/persimmonreach/ownership/_parts.py
+++ b/packages/ownership/src/persimmonreach/ownership/_parts.py
@@ -3,14 +3,13 @@
 import random
 from typing import NamedTuple
 
-from persimmonreach.core import AgentId, ServiceId
+from persimmonreach.core import AgentId, Pauses, ServiceId
 from persimmonreach.flows import LocalFlows
 from persimmonreach.ownership._answers import Answers
 from persimmonreach.ownership._claims import Claims
 from persimmonreach.ownership._directory import Directory
 from persimmonreach.ownership._handover import Handover
 from persimmonreach.ownership._lookup import Lookups
-from persimmonreach.ownership._pauses import Pauses
 from persimmonreach.ownership._peers import Peers
 from persimmonreach.ownership._records import Records
 from persimmonreach.ownership._settings import OwnershipSettings
--- a/packages/proof/src/persimmonreach/proof/_entry_node.py
+++ b/packages/proof/src/persimmonreach/proof/_entry_node.py
@@ -112,7 +112,7 @@
     def _accept(self, event: Any) -> None:
         content = content_of(event)
         if isinstance(content, bytes):
-            route = self._router.route(content)
+            route = self._router.route(content, self.now)
             if isinstance(route, Forward):
                 self._send(route.to, route.message)
         elif isinstance(content, _MEMBERSHIP):
@@ -121,6 +121,7 @@
             self._run(self._configuration, event)
 
     def _tick(self) -> None:
+        self._run(self._router, Tick())
         self._run(self._membership, Tick())
         self._run(self._configuration, Tick())
         if self._is_reading:
--- a/packages/routing/src/persimmonreach/routing/_entry.py
+++ b/packages/routing/src/persimmonreach/routing/_entry.py
@@ -13,8 +13,10 @@
     Endpoint,
     Event,
     FlowKey,
+    Pauses,
     ServiceId,
     StateMachine,
+    Tick,
     Zone,
     bucket_of,
 )
@@ -23,6 +25,11 @@
 
 # Address and port of the service are the last 6 bytes of an IPv4 flow key.
 _DESTINATION: Final = slice(-6, None)
+# The router is told of the time each second; a longer silence is a pause of the
+# process. Packets that waited in its socket may be older than a copy of a packet
+# lives (10 s), so that agents would take them for new ones.
+_PAUSE_LIMIT_S: Final = 3
+_PAUSE_DRAIN_S: Final = 0.5
 
 
 class Forward(NamedTuple):
@@ -86,6 +93,7 @@
         self._views: dict[ServiceId, View] = {}
         self._services: dict[bytes, ServiceId] = {}
         self._owners: dict[ServiceId, list[Endpoint | None]] = {}
+        self._pauses = Pauses(_PAUSE_LIMIT_S, _PAUSE_DRAIN_S)
         self._handlers = {
             ConfigurationChanged: self._on_configuration,
             ViewChanged: self._on_view,
@@ -107,12 +115,17 @@
         return self._zone not in self._configuration.zones_out
 
     def handle(self, event: Event, now: float) -> tuple[Action, ...]:
-        """Rebuild the table after a change; there are no actions."""
-        self._handlers[type(event)](event)
+        """Rebuild the table after a change, or note the time; no actions."""
+        self._pauses.note(now)
+        if not isinstance(event, Tick):
+            self._handlers[type(event)](event)
         return ()
 
-    def route(self, packet: bytes) -> Forward | RouteDropped:
+    def route(self, packet: bytes, now: float) -> Forward | RouteDropped:
         """Return where ``packet`` goes."""
+        self._pauses.note(now)
+        if self._pauses.may_be_stale(now):
+            return RouteDropped('packets_stale')
         try:
             key = self._headers.read_inbound(packet).key
         except PacketError:
--- a/packages/routing/src/persimmonreach/routing/tasks.py
+++ b/packages/routing/src/persimmonreach/routing/tasks.py
@@ -73,11 +73,13 @@
         self._router.handle(message, self._clock.now())
 
     def tick(self) -> None:
-        """Do nothing: routing does not depend on the time."""
+        """Tell the router the time, so that it notices a pause."""
+        self.receive(Tick())
 
     def _receive_packets(self) -> None:
         while True:
-            route = self._router.route(self._fabric.receive())
+            packet = self._fabric.receive()
+            route = self._router.route(packet, self._clock.now())
             if isinstance(route, Forward):
                 self._peers.send(route.to, route.message)
                 self._forwarded += 1
