Keep a segment outside the window from moving a stand-in's numbers

Cause: both ends of the stand-ins took any later sequence number as the next expected one. A keepalive probe with unknown numbers moved it, so that the next probes were not answered and a healthy quiet flow was ended.

Change: only segments within the window of 65,535 bytes move the number, as in RFC 9293, 3.10.7.4. The new test fails without the change.

--- a/packages/standins/src/persimmonreach/standins/_endpoint.py
+++ b/packages/standins/src/persimmonreach/standins/_endpoint.py
@@ -5,7 +5,8 @@
 from persimmonreach.packets import ACK, FIN, RST, SYN, PacketHeader, Segment
 
 _MODULUS: Final = 0x100000000
-_HALF: Final = 0x80000000
+# Receive window; a segment beyond it moves no number (RFC 9293, 3.10.7.4).
+_WINDOW: Final = 0x10000
 
 
 class SequenceState:
@@ -51,7 +52,7 @@
         """
         known = self._expected
         after = header.next_sequence
-        if known is None or (after - known) % _MODULUS < _HALF:
+        if known is None or (after - known) % _MODULUS < _WINDOW:
             self._expected = after
         is_bare = header.flags & (SYN | FIN | RST | ACK) == ACK
         return is_bare and not header.payload_size and header.sequence != known
--- a/packages/standins/tests/test_parts.py
+++ b/packages/standins/tests/test_parts.py
@@ -132,3 +132,15 @@
     group = read_record(CallersSettings, raw).groups[0]
     assert group.service == Endpoint('h', 2)
     assert group.hosts == ('10.1.0.1',)
+
+
+def test_probe_with_unknown_numbers_is_answered_each_time() -> None:
+    codec = Ipv4TcpCodec()
+    caller = SequenceState(100)
+    opened = build_outbound(KEY, Segment(SYN | ACK, 4000, 101))
+    caller.observe(codec.read_outbound(opened))
+    # An agent that saw no acknowledgement of the caller probes with 2**32 - 1.
+    probe = build_outbound(KEY, Segment(ACK, 2**32 - 1, 0))
+    for _ in range(3):
+        assert caller.observe(codec.read_outbound(probe))
+    assert caller.expected == 4001
