Probe in the matrix with the product's interval

Three probes 1.5 s apart ended within the 4 s fence of a lost owner, so the caller's answers had no way to the holder; the product's 3 probes take 15 s.

--- a/packages/proof/src/persimmonreach/proof/_platform_faults.py
+++ b/packages/proof/src/persimmonreach/proof/_platform_faults.py
@@ -59,6 +59,9 @@
 class RegionsApart(Fault):
     """One availability zone exchanges nothing with the others for 20 s."""
 
+    # A quiet flow needs one answered probe between two losses of contact.
+    gap_s = 10
+
     def strike(self, world: World, target: Target) -> float:
         """Divide the network."""
         node = world.agents.get(target.agent)
--- a/packages/proof/src/persimmonreach/proof/_settings.py
+++ b/packages/proof/src/persimmonreach/proof/_settings.py
@@ -11,11 +11,10 @@
 WITHDRAWN_S: Final = 5
 IN_FORCE_S: Final = 12
 RECOVERY_S: Final = 10
-# Probing is shortened from 30 s, 5 s and 3 probes (45 s), so that a case is
-# short; the idle time still exceeds the 20 s for which regions are apart by more
-# than the time that a quiet flow is open before.
-_IDLE_S: Final = 28
-_INTERVAL_S: Final = 1.5
+# Probing starts after 25 s instead of 30 s, so that a case is shorter. The
+# interval stays: its 3 probes have to outlast the fence of a lost owner.
+_IDLE_S: Final = 25
+_INTERVAL_S: Final = 5
 PROBING: Final = ProbeSettings(_IDLE_S, _INTERVAL_S, probes=3)
 SILENT_S: Final = PROBING.idle_s + PROBING.interval_s * PROBING.probes
 # A backend server that turns cold is read within one poll of 0.25 s; requests
