Abort requests in the matrix when a server turns cold; keep slow start off

Requests that were running when a backend server turned cold went on, so no case had a request of unknown outcome that could be retried.

--- a/packages/admission/src/persimmonreach/admission/_limit.py
+++ b/packages/admission/src/persimmonreach/admission/_limit.py
@@ -103,7 +103,8 @@
 
     def configure(self, settings: LimitSettings) -> None:
         """Use newly declared slots and floor; the limit never jumps up."""
-        self._settings = settings
+        is_on = self._settings.slow_start
+        self._settings = settings._replace(slow_start=is_on)
         self._earned = max(self._floor, min(self._earned, settings.slots))
 
     def try_acquire(self, now: float) -> bool:
--- a/packages/proof/src/persimmonreach/proof/_backends.py
+++ b/packages/proof/src/persimmonreach/proof/_backends.py
@@ -112,8 +112,10 @@
         return min(1, self.running / self.plan.slots)
 
     def turn_cold(self) -> None:
-        """Lose all caches."""
+        """Lose all caches and the requests that run, as a restart inside does."""
         self._cold_since = self._scheduler.now
+        for key, request_id, attempt in tuple(self._running):
+            self._abort(key, CancelFrame(request_id, attempt), 'failed')
 
     def drain(self) -> None:
         """Report draining from now on."""
@@ -172,7 +174,7 @@
             if isinstance(frame, RequestFrame):
                 self._start(key, frame)
             elif isinstance(frame, CancelFrame):
-                self._cancel(key, frame)
+                self._abort(key, frame, 'cancelled')
         if header.flags & FIN:
             self._flows.pop(key)
             self._closed[key] = self._scheduler.now
@@ -203,11 +205,11 @@
             self._journal.overloaded(self.plan.name)
         return _COLD_SLOTS
 
-    def _cancel(self, key: FlowKey, frame: CancelFrame) -> None:
+    def _abort(self, key: FlowKey, frame: CancelFrame, reason: str) -> None:
         run = (key, frame.request_id, frame.attempt)
         if run in self._running:
             self._running.discard(run)
-            self._refuse(key, frame, Outcome.UNKNOWN, 'cancelled')
+            self._refuse(key, frame, Outcome.UNKNOWN, reason)
 
     def _finish(self, run: tuple[FlowKey, bytes, int], frame: RequestFrame) -> None:
         if run not in self._running:
--- a/packages/proof/src/persimmonreach/proof/_platform_faults.py
+++ b/packages/proof/src/persimmonreach/proof/_platform_faults.py
@@ -131,6 +131,8 @@
         rows = world.callers.flows.items()
         keys = [key for key, row in rows if row.is_open and not row.plan.single]
         keys = [key for key in keys if key not in world.callers.forgotten]
+        if not keys:
+            return 0
         key = target.key if target.key in keys else keys[0]
         world.callers.forgotten[key] = world.now
         world.excuses.forgotten[key] = world.now
--- a/packages/proof/src/persimmonreach/proof/_world.py
+++ b/packages/proof/src/persimmonreach/proof/_world.py
@@ -169,6 +169,8 @@
     def set_zone(self, zone: Zone, out: bool) -> None:
         """Take a zone out of service or back, by an override if need be."""
         if self.operator_store_is_down:
+            # Two commands of an operator never have the same time.
+            self.step()
             well = [node for node in self.entries.values() if node.is_well]
             well[0].set_zone(zone, out)
             self.note_zone(zone, out)
