--- a/packages/admission/src/persimmonreach/admission/_accepting.py
+++ b/packages/admission/src/persimmonreach/admission/_accepting.py
@@ -1,6 +1,7 @@
 """Decision whether the local backend server takes a flow of another owner."""
 
 from collections import OrderedDict
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from persimmonreach.admission._events import LocalFlowCount
@@ -90,6 +91,21 @@
         self._answers[asked] = _Answer(message.key, verdict, expires_at)
         return verdict
 
+    def refuse(self, message: PlaceFlow, now: float) -> Verdict:
+        """Refuse ``message`` and each copy of it, whatever room there is."""
+        asked = _Asked(message.agent, message.number)
+        verdict = Verdict.FULL
+        self._answers[asked] = _Answer(message.key, verdict, now + self._lifetime_s)
+        return verdict
+
+    def holds(self, key: FlowKey) -> bool:
+        """Return whether the flow was accepted or adopted and goes on."""
+        return key in self._accepted
+
+    def adopt(self, keys: Iterable[FlowKey], now: float) -> None:
+        """Note open flows that an earlier process accepted."""
+        self._accepted.update(dict.fromkeys(keys, now + self._lifetime_s))
+
     def release(self, key: FlowKey) -> None:
         """Note that the flow has ended."""
         self._accepted.pop(key, None)
--- a/packages/admission/src/persimmonreach/admission/_events.py
+++ b/packages/admission/src/persimmonreach/admission/_events.py
@@ -104,6 +104,12 @@
     packet: bytes
 
 
+class FlowsAdopted(NamedTuple):
+    """Event: a restarted agent read these open flows from its backend server."""
+
+    keys: tuple[FlowKey, ...]
+
+
 class PlacementSettled(NamedTuple):
     """Action: the flow lives at ``holder``, or nowhere if None."""
 
--- a/packages/admission/src/persimmonreach/admission/_placement.py
+++ b/packages/admission/src/persimmonreach/admission/_placement.py
@@ -6,6 +6,7 @@
 from persimmonreach.admission._accepting import FlowAcceptor
 from persimmonreach.admission._events import (
     AdmitLocal,
+    FlowsAdopted,
     LocalFlowCount,
     PlacedFlowEnded,
     PlacementSettled,
@@ -108,15 +109,17 @@
                 return self._change_view(event.view)
             case Tick():
                 return self._repeat(now)
-        self._note(event)
+        self._note(event, now)
         return ()
 
-    def _note(self, event: Event) -> None:
+    def _note(self, event: Event, now: float) -> None:
         match event:
             case LocalFlowCount():
                 self._acceptor.count(event)
             case PlacedFlowEnded():
                 self._acceptor.release(event.key)
+            case FlowsAdopted():
+                self._acceptor.adopt(event.keys, now)
             case LeaseRenewed() | LeaseLapsed():
                 self._standing.note(event)
             case ConfigurationChanged():
@@ -180,9 +183,13 @@
         if message.service != self._members.service:
             return (Count('placements_of_other_service'),)
         is_new = self._acceptor.is_new(message)
-        if is_new and not self._standing.may_take(message.target_incarnation, now):
+        is_known = not is_new or self._acceptor.holds(message.key)
+        if is_known or self._standing.may_take(message.target_incarnation, now):
+            verdict = self._acceptor.decide(message, now)
+        elif self._standing.is_past(message.target_incarnation, now):
+            verdict = self._acceptor.refuse(message, now)
+        else:
             return (Count('placements_without_standing'),)
-        verdict = self._acceptor.decide(message, now)
         answer = PlaceAnswer(
             message.key,
             self._agent,
--- a/packages/admission/src/persimmonreach/admission/_standing.py
+++ b/packages/admission/src/persimmonreach/admission/_standing.py
@@ -36,6 +36,10 @@
         """Take note of the agent's incarnation; it only rises."""
         self._incarnation = max(self._incarnation, incarnation)
 
+    def is_past(self, incarnation: Incarnation, now: float) -> bool:
+        """Return whether ``incarnation`` ended, and this one has a lease."""
+        return now < self._valid_until and incarnation < self._incarnation
+
     def may_take(self, incarnation: Incarnation, now: float) -> bool:
         """Return whether a flow meant for ``incarnation`` may be taken."""
         return now < self._valid_until and incarnation == self._incarnation
--- a/packages/routing/src/persimmonreach/routing/_agent.py
+++ b/packages/routing/src/persimmonreach/routing/_agent.py
@@ -6,6 +6,7 @@
 from persimmonreach.admission import (
     BackendReported,
     BackendState,
+    FlowsAdopted,
     LimitSettings,
     PlaceFlow,
 )
@@ -129,7 +130,13 @@
         return machine.handle(event, now)
 
     def _accepts(self, message: PlaceFlow, now: float) -> bool:
-        """Return whether the sender may still own the bucket of the flow."""
+        """Return whether the sender may still own the bucket of the flow.
+
+        Nothing is answered before the open flows are known: the flow may be
+        one of them.
+        """
+        if not self._parts.state.is_adopted:
+            return False
         if self._parts.flows.holds(message.key):
             return True
         owner = (message.agent, message.incarnation)
@@ -168,8 +175,12 @@
             for key in event.keys
             if key != self._parts.own_key and not self._parts.flows.holds(key)
         )
-        adopted = self._parts.flows.handle(AdoptFlows(keys), now)
-        return adopted + self._parts.ownership.handle(LocalFlowsAdopted(keys), now)
+        self._parts.state.is_adopted = True
+        return (
+            *self._parts.flows.handle(AdoptFlows(keys), now),
+            *self._parts.placement.handle(FlowsAdopted(keys), now),
+            *self._parts.ownership.handle(LocalFlowsAdopted(keys), now),
+        )
 
     def _on_report(self, event: BackendReported, now: float) -> tuple[Action, ...]:
         actions = self._parts.requests.handle(event, now)
--- a/packages/routing/src/persimmonreach/routing/_state.py
+++ b/packages/routing/src/persimmonreach/routing/_state.py
@@ -16,6 +16,8 @@
     def __init__(self, service: ServiceConfig) -> None:
         self._service = service
         self._started_at: float | None = None
+        # Whether the open flows of the backend server are known.
+        self.is_adopted = False
 
     @property
     def service(self) -> ServiceConfig:
