--- a/packages/daemon/tests/test_agent_router.py
+++ b/packages/daemon/tests/test_agent_router.py
@@ -17,7 +17,7 @@
     ConfigurationChanged,
     ServiceConfig,
 )
-from persimmonreach.core import Count, Deliver, Endpoint, Received, Reply, Send
+from persimmonreach.core import Count, Deliver, Endpoint, Received, Reply, Send, Tick
 from persimmonreach.daemon._agent_parts import make_router
 from persimmonreach.daemon._settings import AgentSettings, BackendSetting, KeySetting
 from persimmonreach.packets import (
@@ -147,6 +147,12 @@
 def test_requests_on_adopted_flows_are_not_run_again() -> None:
     agent = Agent()
     request = RequestFrame(REQUEST_ID, 0, False, 1000, b'order')
+    # The request waits while the agent asks for records of its predecessor.
+    waiting = agent.from_caller(1, FRAMES.encode(request))
+    assert not frames(waiting, Deliver)
+    assert not frames(waiting, Reply)
+    for second in range(6):
+        agent.handle(Tick(), NOW + second)
     actions = agent.from_caller(1, FRAMES.encode(request))
     key, refusal = only(frames(actions, Reply))
     assert key == key_of(1)
--- a/packages/requests/src/persimmonreach/requests/_events.py
+++ b/packages/requests/src/persimmonreach/requests/_events.py
@@ -66,16 +66,6 @@
     """The agent takes no more attempts for other agents."""
 
 
-class FlowsAdopted(NamedTuple):
-    """The agent has started and read this many open flows.
-
-    Without any, no earlier process beside the backend server can have run
-    requests whose copies still arrive.
-    """
-
-    flows: int
-
-
 class StopRequested(NamedTuple):
     """The agent's process is about to stop; its backend server goes on.
 
--- a/packages/requests/src/persimmonreach/requests/_machine.py
+++ b/packages/requests/src/persimmonreach/requests/_machine.py
@@ -3,7 +3,12 @@
 from random import Random
 from typing import Final, final
 
-from persimmonreach.admission import BackendReported, BackendState, ConcurrencyLimit
+from persimmonreach.admission import (
+    BackendReported,
+    BackendState,
+    ConcurrencyLimit,
+    FlowsAdopted,
+)
 from persimmonreach.configuration import ConfigurationChanged
 from persimmonreach.core import (
     Action,
@@ -26,7 +31,6 @@
     CancelArrived,
     DrainStarted,
     FlowEnded,
-    FlowsAdopted,
     RequestArrived,
     StopRequested,
 )
@@ -159,7 +163,7 @@
             case DrainStarted():
                 self._is_draining = True
             case FlowsAdopted():
-                self._succession.note_adopted(event.flows)
+                self._succession.note_adopted(len(event.keys))
             case StopRequested():
                 self._is_draining = True
                 self._succession.stop()
--- a/packages/requests/tests/test_succession.py
+++ b/packages/requests/tests/test_succession.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from persimmonreach.admission import LimitSettings, SlowStartLimit
+from persimmonreach.admission import FlowsAdopted, LimitSettings, SlowStartLimit
 from persimmonreach.core import Endpoint, Received, Send, Tick
 from persimmonreach.membership import (
     Member,
@@ -17,7 +17,6 @@
 from persimmonreach.packets import AnswerFrame, Outcome, RequestFrame
 from persimmonreach.requests import (
     BackendAnswered,
-    FlowsAdopted,
     ReplyFrame,
     RequestArrived,
     Requests,
@@ -47,7 +46,7 @@
         self.replies: list[Any] = []
         for name in self.incarnations:
             self.start(name)
-            self.post(name, FlowsAdopted(0))
+            self.post(name, FlowsAdopted(()))
         self.share_view()
 
     def start(self, name: str) -> None:
--- a/packages/routing/src/persimmonreach/routing/_agent.py
+++ b/packages/routing/src/persimmonreach/routing/_agent.py
@@ -6,6 +6,7 @@
 from persimmonreach.admission import (
     BackendReported,
     BackendState,
+    FlowsAdopted,
     LimitSettings,
     PlaceFlow,
 )
@@ -23,7 +24,7 @@
 )
 from persimmonreach.ownership import LocalFlowsAdopted, PacketArrived
 from persimmonreach.packets import ForwardedPacket, PacketError, is_flow_key
-from persimmonreach.requests import BackendLost, DrainStarted, FlowsAdopted, StopRequested
+from persimmonreach.requests import BackendLost, DrainStarted, StopRequested
 from persimmonreach.routing._agent_events import (
     BackendPacketArrived,
     BackendServerLost,
@@ -145,7 +146,13 @@
         return machine.handle(event, now)
 
     def _accepts(self, message: PlaceFlow, now: float) -> bool:
-        """Return whether the sender may still own the bucket of the flow."""
+        """Return whether the sender may still own the bucket of the flow.
+
+        Nothing is answered before the open flows are known: the flow may be
+        one of them.
+        """
+        if not self._parts.state.is_adopted:
+            return False
         if self._parts.flows.holds(message.key):
             return True
         owner = (message.agent, message.incarnation)
@@ -190,11 +197,15 @@
             for key in readable
             if key != self._parts.own_key and not self._parts.flows.holds(key)
         )
-        adopted = self._parts.flows.handle(AdoptFlows(keys), now)
-        adopted += self._parts.requests.handle(FlowsAdopted(len(keys)), now)
-        unreadable = Count('connections_unreadable', len(event.keys) - len(readable))
-        owned = self._parts.ownership.handle(LocalFlowsAdopted(keys), now)
-        return (*adopted, unreadable, *owned)
+        self._parts.state.is_adopted = True
+        adopted = FlowsAdopted(keys)
+        return (
+            Count('connections_unreadable', len(event.keys) - len(readable)),
+            *self._parts.flows.handle(AdoptFlows(keys), now),
+            *self._parts.placement.handle(adopted, now),
+            *self._parts.requests.handle(adopted, now),
+            *self._parts.ownership.handle(LocalFlowsAdopted(keys), now),
+        )
 
     def _on_report(self, event: BackendReported, now: float) -> tuple[Action, ...]:
         actions = self._parts.requests.handle(event, now)
--- a/packages/routing/src/persimmonreach/routing/tasks.py
+++ b/packages/routing/src/persimmonreach/routing/tasks.py
@@ -77,7 +77,8 @@
         self._router.handle(message, self._clock.now())
 
     def tick(self) -> None:
-        """Do nothing: routing does not depend on the time."""
+        """Tell the router the time, so that it notices a pause."""
+        self.receive(Tick())
 
     def _receive_packets(self) -> None:
         while True:
@@ -87,7 +88,7 @@
             gevent.sleep(0)
 
     def _forward(self, packet: bytes) -> None:
-        route = self._router.route(packet)
+        route = self._router.route(packet, self._clock.now())
         if isinstance(route, Forward):
             self._peers.send(route.to, route.message)
             self._forwarded += 1
