--- a/packages/proof/src/persimmonreach/proof/bench.py
+++ b/packages/proof/src/persimmonreach/proof/bench.py
@@ -10,26 +10,43 @@
 from pathlib import Path
 from typing import Any, Final
 
+from persimmonreach.proof.bench_agent import AgentFlows
+from persimmonreach.proof.bench_agent_traffic import AgentTraffic
 from persimmonreach.proof.bench_base import Measurement, Report
+from persimmonreach.proof.bench_budget import Budget
+from persimmonreach.proof.bench_configuration import NewNode, Publishing
+from persimmonreach.proof.bench_configuration_traffic import ConfigurationTraffic
 from persimmonreach.proof.bench_entry import EntryTable
 from persimmonreach.proof.bench_membership import EntryMembershipLoad
 from persimmonreach.proof.bench_packets import PacketPath
 from persimmonreach.proof.bench_plot import plot_slope
 from persimmonreach.proof.bench_policies import BrokenFlows, Imbalance
 from persimmonreach.proof.bench_processes import FullEntry, IdleAgent
+from persimmonreach.proof.bench_profile import PacketProfile
+from persimmonreach.proof.bench_retries import RetryAmplification
+from persimmonreach.proof.bench_slow_start import ColdPeak
 from persimmonreach.proof.bench_table import as_object, render_report
 
+_RESULT: Final = Path('build/bench.json')
+_PLOTS: Final = Path('docs/plots')
 MEASUREMENTS: Final[tuple[Measurement, ...]] = (
     EntryTable(),
     EntryMembershipLoad(),
+    ConfigurationTraffic(),
+    Publishing(),
+    NewNode(),
+    AgentFlows(),
+    AgentTraffic(),
     BrokenFlows(),
     Imbalance(),
+    ColdPeak(),
+    RetryAmplification(),
     PacketPath(),
+    PacketProfile(),
     IdleAgent(),
     FullEntry(),
+    Budget(_RESULT),
 )
-_RESULT: Final = Path('build/bench.json')
-_PLOTS: Final = Path('docs/plots')
 
 
 def main() -> int:
--- a/packages/proof/src/persimmonreach/proof/bench_base.py
+++ b/packages/proof/src/persimmonreach/proof/bench_base.py
@@ -8,7 +8,7 @@
 
 from persimmonreach.core import Action, Send
 from persimmonreach.daemon._wire import make_codec
-from persimmonreach.proof.bench_fit import Fit
+from persimmonreach.proof.bench_fit import Fit, fit_line
 from persimmonreach.runtime import SharedKey
 
 # IPv4 header of 20 bytes and UDP header of 8; the codec adds the envelope.
@@ -59,6 +59,32 @@
         return self.fit.at(self.design_size)
 
 
+class Axis(NamedTuple):
+    """Sizes at which values are measured, and the size to design for."""
+
+    unit: str
+    sizes: tuple[float, ...]
+    design_size: float
+
+    def slope(self, name: str, unit: str, amounts: Iterable[float]) -> Slope:
+        """Return the fit of values at these sizes."""
+        measured = tuple(float(amount) for amount in amounts)
+        fit = fit_line(self.sizes, measured)
+        return Slope(name, self.unit, unit, self.sizes, measured, fit, self.design_size)
+
+    def slopes(
+        self,
+        names: Iterable[tuple[str, str, str]],
+        samples: Iterable[Any],
+    ) -> tuple[Slope, ...]:
+        """Return the fits of several fields, given by name, unit and field."""
+        rows = tuple(samples)
+        return tuple(
+            self.slope(name, unit, [getattr(row, field) for row in rows])
+            for name, unit, field in names
+        )
+
+
 class Report(NamedTuple):
     """Result of one measurement."""
 
--- /dev/null
+++ b/packages/proof/src/persimmonreach/proof/bench_budget.py
@@ -0,0 +1,135 @@
+"""Control overhead of a node at the stated size, from the other results."""
+
+import json
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+from persimmonreach.proof.bench_base import KILOBYTE, Figure, Measurement, Report
+from persimmonreach.proof.bench_inputs import AGENTS, ENTRIES
+
+# Share of a core, MB and bytes per second that control may take at a node.
+CORE_PERCENT: Final = 1
+MEMORY_MB: Final = 32
+TRAFFIC_BYTES: Final = 4 * KILOBYTE
+_FAILURES_PER_DAY: Final = 28
+_RESTARTS_PER_DAY: Final = 1300
+# Draining, left, joining and active in turn, or accusations and death.
+_ROWS_PER_RESTART: Final = 4
+_REGISTRARS: Final = 3
+_SECONDS_PER_DAY: Final = 86_400
+_HOUR_S: Final = 3600
+_LIST_CHANGES_PER_RESTART: Final = 2
+_SHARE: Final = '% of the budget'
+_TRAFFIC: Final = 'B/s'
+_ENTRY_SENT: Final = (
+    'heartbeats and gossip sent by an entry instance',
+    'configuration bytes sent by an entry instance',
+)
+_ENTRY_RECEIVED: Final = (
+    'heartbeats and gossip received by an entry instance',
+    'configuration bytes received by an entry instance',
+)
+
+
+class _Use(NamedTuple):
+    role: str
+    processor: float
+    memory: float
+    sent: float
+    received: float
+
+
+class Budget(Measurement):
+    """Use of the control budget; needs the results of a whole run.
+
+    Parameters
+    ----------
+    result
+        File with the results of the other measurements.
+
+    """
+
+    def __init__(self, result: Path) -> None:
+        self._result = result
+
+    @property
+    def name(self) -> str:
+        """Name for ``--only``."""
+        return 'budget'
+
+    def run(self) -> Report:
+        """Add up the values at the stated size."""
+        known = _read(self._result)
+        rows = known['bytes of one changed row to one peer']
+        entry = _Use(
+            'entry instance',
+            known['idle processor share of an entry process by agents'],
+            known['memory of an entry process by agents'],
+            sum(known[name] for name in _ENTRY_SENT),
+            sum(known[name] for name in _ENTRY_RECEIVED),
+        )
+        agent = _Use(
+            'agent',
+            known['idle processor share of an agent process by flows'],
+            known['memory of an agent process by flows'],
+            known['control bytes sent by an agent'],
+            known['control bytes received by an agent'],
+        )
+        figures = (
+            *_use(entry),
+            *_use(agent),
+            *_changes(rows, entry),
+            *_rolling(known),
+        )
+        return Report(figures)
+
+
+def _read(path: Path) -> dict[str, float]:
+    known: dict[str, float] = {}
+    reports: dict[str, Any] = json.loads(path.read_text())
+    for report in reports.known():
+        for figure in report['figures']:
+            known[figure['name']] = figure['amount']
+        for slope in report['slopes']:
+            known[slope['name']] = slope['at_design']
+    return known
+
+
+def _use(use: _Use) -> Iterable[Figure]:
+    both = use.sent + use.received
+    shares = (
+        ('processor', use.processor / CORE_PERCENT),
+        ('memory', use.memory / MEMORY_MB),
+        ('bytes sent', use.sent / TRAFFIC_BYTES),
+        ('bytes sent and received', both / TRAFFIC_BYTES),
+    )
+    yield Figure(f'control bytes sent, {use.role}', use.sent, _TRAFFIC)
+    yield Figure(f'control bytes received, {use.role}', use.received, _TRAFFIC)
+    for name, share in shares:
+        yield Figure(f'{name}, {use.role}', share * 100, _SHARE)
+
+
+def _changes(row_bytes: float, entry: _Use) -> Iterable[Figure]:
+    # Each registrar sends a changed row to every other entry instance.
+    per_change = 2 * _REGISTRARS * row_bytes
+    restarts = (_FAILURES_PER_DAY + _RESTARTS_PER_DAY) / _SECONDS_PER_DAY
+    daily = restarts * _ROWS_PER_RESTART * per_change
+    free = TRAFFIC_BYTES - entry.sent - entry.received
+    rolling = AGENTS * _ROWS_PER_RESTART * per_change
+    yield Figure(
+        'bytes of changed rows, mean of a day, sent and received', daily, _TRAFFIC
+    )
+    yield Figure(
+        'bytes of rows, all agents restarted in an hour', rolling / _HOUR_S, _TRAFFIC
+    )
+    name = 'shortest restart of all agents within the bytes of the budget'
+    yield Figure(name, rolling / free / _HOUR_S, 'hours')
+
+
+def _rolling(known: dict[str, float]) -> Iterable[Figure]:
+    once = known['time to apply one change of the entry list'] / 1000
+    total = once * ENTRIES * _LIST_CHANGES_PER_RESTART
+    yield Figure('processor time at each entry instance, all restarted', total, 's')
+    name = 'shortest restart of all entry instances at 1% of a core'
+    yield Figure(name, total * 100 / CORE_PERCENT / _HOUR_S, 'hours')
--- a/packages/proof/src/persimmonreach/proof/bench_deployment.py
+++ b/packages/proof/src/persimmonreach/proof/bench_deployment.py
@@ -35,9 +35,17 @@
 
 
 class Deployment:
-    """Store, entry instances and agents as processes; ends them on exit."""
+    """Store, entry instances and agents as processes; ends them on exit.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    profiler
+        Module that runs a daemon under a profiler; empty for none.
+
+    """
+
+    def __init__(self, profiler: str = '') -> None:
+        self._profiler = profiler
         DIRECTORY.mkdir(parents=True, exist_ok=True)
         self._fleet = Fleet(DIRECTORY)
         self._resources = ExitStack()
@@ -68,6 +76,14 @@
         }
         self._put(places)
 
+    def _start_daemon(self, name: str, role: str, settings: Any) -> Child:
+        if not self._profiler:
+            return self._fleet.start_daemon(name, role, settings)
+        path = self._fleet.write(f'{name}.json', settings)
+        output = str(DIRECTORY / f'{name}.profile')
+        module = ['-m', self._profiler]
+        return self._fleet.start(name, [sys.executable, *module, role, path, output])
+
     def _put(self, rows: Mapping[str, str]) -> None:
         # One call takes 44 ms, so many are under way at once.
         pool = Pool(_WRITERS)
@@ -88,7 +104,7 @@
             'keys': _KEYS,
             'membership': {'heartbeat_s': 2, 'lease_s': 6, 'fence_s': 8},
         }
-        child = self._fleet.start_daemon(name, 'entry', settings)
+        child = self._start_daemon(name, 'entry', settings)
         wait_ready(child)
         return child
 
@@ -113,9 +129,11 @@
             'fabric': {'host': HOST, 'port': port},
             'seeds': [entry.endpoint('peer')._asdict()],
             'keys': _KEYS,
+            # No other agent takes its buckets over.
+            'shutdown_s': 1,
             'membership': {'heartbeat_s': 2, 'lease_s': 6, 'fence_s': 8},
         }
-        child = self._fleet.start_daemon(name, 'agent', settings)
+        child = self._start_daemon(name, 'agent', settings)
         wait_ready(child)
         return child
 
--- a/packages/proof/src/persimmonreach/proof/bench_entry.py
+++ b/packages/proof/src/persimmonreach/proof/bench_entry.py
@@ -9,14 +9,13 @@
 from persimmonreach.proof.bench_base import (
     KILOBYTE,
     MICROSECONDS,
+    Axis,
     Figure,
     Measurement,
     Report,
-    Slope,
     measure_memory,
     time_calls,
 )
-from persimmonreach.proof.bench_fit import fit_line
 from persimmonreach.proof.bench_inputs import (
     AGENTS,
     SEED,
@@ -31,6 +30,7 @@
 
 # Addresses and backend servers grow together, as in the users' deployments.
 _SIZES: Final = ((100, 500), (400, 2000), (1400, 5700))
+_AXIS: Final = Axis('backend servers', (500, 2000, AGENTS), AGENTS)
 _PACKETS: Final = 2000
 _CHANGES: Final = 20
 _MILLISECONDS: Final = 1000
@@ -61,20 +61,11 @@
             ('time to apply one member change', 'ms', 'member_change_ms'),
             ('time to apply one configuration change', 'ms', 'configuration_ms'),
         )
-        slopes = tuple(
-            _slope(name, unit, [getattr(row, field) for row in samples])
-            for name, unit, field in names
-        )
+        slopes = _AXIS.slopes(names, samples)
         noise = max(row.noise for row in samples)
         return Report((Figure('noise of the times', noise, 'worst/best'),), slopes)
 
 
-def _slope(name: str, unit: str, amounts: list[float]) -> Slope:
-    sizes = tuple(float(agents) for _, agents in _SIZES)
-    fit = fit_line(sizes, amounts)
-    return Slope(name, 'backend servers', unit, sizes, tuple(amounts), fit, AGENTS)
-
-
 def _measure(services: int, agents: int) -> _Sample:
     router, memory = measure_memory(lambda: _build(services, agents))
     keys = make_keys(_PACKETS, services)
--- a/packages/proof/src/persimmonreach/proof/bench_inputs.py
+++ b/packages/proof/src/persimmonreach/proof/bench_inputs.py
@@ -22,6 +22,7 @@
 AGENTS: Final = 5700
 ENTRIES: Final = 760
 FLOWS: Final = 7_000_000
+FLOWS_PER_AGENT: Final = FLOWS / AGENTS
 NEW_FLOWS_PER_S: Final = 70_000
 ZONES: Final = (
     Zone('region-0-zone-0'),
--- a/packages/proof/src/persimmonreach/proof/bench_membership.py
+++ b/packages/proof/src/persimmonreach/proof/bench_membership.py
@@ -15,6 +15,7 @@
 from persimmonreach.proof.bench_base import (
     CODEC,
     KILOBYTE,
+    Axis,
     Figure,
     Measurement,
     Report,
@@ -24,7 +25,6 @@
     sent_messages,
     time_calls,
 )
-from persimmonreach.proof.bench_fit import fit_line
 from persimmonreach.proof.bench_inputs import (
     AGENTS,
     ENTRIES,
@@ -37,6 +37,7 @@
 
 # Agents, services and entry instances grow together.
 _SIZES: Final = ((500, 123, 67), (2000, 491, 267), (AGENTS, SERVICES, ENTRIES))
+_AXIS: Final = Axis('agents', (500, 2000, AGENTS), AGENTS)
 _WARM_UP_S: Final = 12
 _SECONDS: Final = 60
 _FLOWS: Final = 1230
@@ -44,7 +45,6 @@
 _TICKS_PER_S: Final = 20
 _MILLISECONDS: Final = 1000
 _PERCENT: Final = 100
-_SERVICE_UNIT: Final = 'agents'
 
 
 class Registrar:
@@ -164,10 +164,7 @@
             ('heartbeats and gossip received by an entry instance', 'B/s', 'received'),
             ('datagrams of heartbeats and gossip', 'datagrams/s', 'datagrams'),
         )
-        slopes = tuple(
-            _slope(name, unit, [getattr(row, field) for row in samples])
-            for name, unit, field in names
-        )
+        slopes = _AXIS.slopes(names, samples)
         ranked = _ranking_slope([row.list_change_ms for row in samples])
         return Report((_agents(samples[-1]), *_changes()), (*slopes, ranked))
 
@@ -176,18 +173,10 @@
     return Figure('agents that the driven entry instance serves', sample.agents, 'agents')
 
 
-def _slope(name: str, unit: str, amounts: list[float]) -> Slope:
-    sizes = tuple(float(size[0]) for size in _SIZES)
-    fit = fit_line(sizes, amounts)
-    return Slope(name, _SERVICE_UNIT, unit, sizes, tuple(amounts), fit, AGENTS)
-
-
 def _ranking_slope(amounts: list[float]) -> Slope:
     sizes = tuple(float(services * entries) for _, services, entries in _SIZES)
-    name = 'time to apply one change of the entry list'
-    unit = 'services x entry instances'
-    fit = fit_line(sizes, amounts)
-    return Slope(name, unit, 'ms', sizes, tuple(amounts), fit, SERVICES * ENTRIES)
+    axis = Axis('services x entry instances', sizes, SERVICES * ENTRIES)
+    return axis.slope('time to apply one change of the entry list', 'ms', amounts)
 
 
 def _measure(agents: int, services: int, entries: int) -> _Sample:
--- a/packages/proof/src/persimmonreach/proof/bench_packets.py
+++ b/packages/proof/src/persimmonreach/proof/bench_packets.py
@@ -6,6 +6,7 @@
 
 from persimmonreach.proof.bench_base import (
     MICROSECONDS,
+    Axis,
     Figure,
     Measurement,
     Report,
@@ -16,7 +17,6 @@
     processor_seconds,
     wait_figure,
 )
-from persimmonreach.proof.bench_fit import fit_line
 from persimmonreach.proof.bench_inputs import ENTRIES, FLOWS, NEW_FLOWS_PER_S
 from persimmonreach.proof.bench_traffic import Sink
 
@@ -121,10 +121,9 @@
 def _slope(who: str, spent: list[float], loads: list[_Load]) -> Slope:
     rates = tuple(load.rate for load in loads)
     shares = tuple(share / MICROSECONDS for share in spent)
-    fit = fit_line(rates, shares)
     name = f'core of an {who} by packet rate'
     design = NEW_FLOWS_PER_S * _PACKETS_PER_NEW_FLOW + FLOWS * _PACKETS_PER_FLOW_S
-    return Slope(name, 'packets/s', 'cores', rates, shares, fit, design / ENTRIES)
+    return Axis('packets/s', rates, design / ENTRIES).slope(name, 'cores', shares)
 
 
 def _instances(capacity: float) -> tuple[Figure, ...]:
--- a/packages/proof/src/persimmonreach/proof/bench_processes.py
+++ b/packages/proof/src/persimmonreach/proof/bench_processes.py
@@ -8,7 +8,14 @@
 
 from persimmonreach.membership._chunks import row_messages
 from persimmonreach.membership._table import MemberRow
-from persimmonreach.proof.bench_base import CODEC, Figure, Measurement, Report, Slope
+from persimmonreach.proof.bench_base import (
+    CODEC,
+    Axis,
+    Figure,
+    Measurement,
+    Report,
+    Slope,
+)
 from persimmonreach.proof.bench_deployment import (
     Deployment,
     memory_mb,
@@ -16,10 +23,10 @@
     read_status,
     wait_figure,
 )
-from persimmonreach.proof.bench_fit import fit_line
 from persimmonreach.proof.bench_inputs import (
     AGENTS,
     ENTRIES,
+    FLOWS_PER_AGENT,
     SERVICES,
     make_entries,
     make_members,
@@ -30,7 +37,8 @@
 
 _BUCKETS: Final = 64
 _AGENT_FLOWS: Final = (500, 1230, 2000)
-_FLOWS_PER_AGENT: Final = 1230
+_AGENT_AXIS: Final = Axis('flows', _AGENT_FLOWS, FLOWS_PER_AGENT)
+_ENTRY_AXIS: Final = Axis('agents', (500, 2000, AGENTS), AGENTS)
 _ENTRY_SIZES: Final = ((500, 123, 67), (2000, 491, 267), (AGENTS, SERVICES, ENTRIES))
 _IDLE_S: Final = 10
 # Longer than the handover of a list of entry instances (10 s).
@@ -92,19 +100,16 @@
     def run(self) -> Report:
         """Start one entry instance at each size."""
         samples = [_measure_entry(*size) for size in _ENTRY_SIZES]
-        sizes = tuple(float(size[0]) for size in _ENTRY_SIZES)
         slopes = (
-            _slope(
+            _ENTRY_AXIS.slope(
                 'memory of an entry process by agents',
-                (sizes, 'agents', AGENTS),
-                [row.memory for row in samples],
                 _MEMORY_UNIT,
+                [row.memory for row in samples],
             ),
-            _slope(
+            _ENTRY_AXIS.slope(
                 'idle processor share of an entry process by agents',
-                (sizes, 'agents', AGENTS),
-                [row.share for row in samples],
                 _SHARE_UNIT,
+                [row.share for row in samples],
             ),
         )
         return Report(tuple(_figures('entry instance, full size', samples[-1])), slopes)
@@ -153,20 +158,9 @@
 
 
 def _agent_slopes(samples: list[_Idle]) -> Iterable[Slope]:
-    axis = (tuple(float(flows) for flows in _AGENT_FLOWS), 'flows', _FLOWS_PER_AGENT)
     memory = [row.memory for row in samples]
     share = [row.share for row in samples]
-    yield _slope('memory of an agent process by flows', axis, memory, _MEMORY_UNIT)
+    title = 'memory of an agent process by flows'
+    yield _AGENT_AXIS.slope(title, _MEMORY_UNIT, memory)
     name = 'idle processor share of an agent process by flows'
-    yield _slope(name, axis, share, _SHARE_UNIT)
-
-
-def _slope(
-    name: str,
-    axis: tuple[tuple[float, ...], str, float],
-    amounts: list[float],
-    unit: str,
-) -> Slope:
-    sizes, size_unit, design = axis
-    fit = fit_line(sizes, amounts)
-    return Slope(name, size_unit, unit, sizes, tuple(amounts), fit, design)
+    yield _AGENT_AXIS.slope(name, _SHARE_UNIT, share)
--- a/packages/proof/src/persimmonreach/proof/bench_store.py
+++ b/packages/proof/src/persimmonreach/proof/bench_store.py
@@ -30,6 +30,14 @@
     return Declarations(tuple(sorted(services, key=_name_of)), frozenset(ZONES))
 
 
+def changed_declarations(count: int) -> Declarations:
+    """Return the declarations with one changed service."""
+    declarations = make_declarations(count)
+    first = declarations.services[0]
+    changed = first._replace(connections=first.connections + 1)
+    return declarations._replace(services=(changed, *declarations.services[1:]))
+
+
 def published_store(count: int) -> FakeStore:
     """Return a store that holds ``count`` published services."""
     clock = ManualClock()
