--- a/packages/proof/src/persimmonreach/proof/bench_entry.py
+++ b/packages/proof/src/persimmonreach/proof/bench_entry.py
@@ -41,6 +41,7 @@
     packet_us: float
     member_change_ms: float
     configuration_ms: float
+    zones_ms: float
     noise: float
 
 
@@ -60,6 +61,7 @@
             ('time to route a packet', 'us', 'packet_us'),
             ('time to apply one member change', 'ms', 'member_change_ms'),
             ('time to apply one configuration change', 'ms', 'configuration_ms'),
+            ('time to apply one change of zones', 'ms', 'zones_ms'),
         )
         slopes = _AXIS.slopes(names, samples)
         noise = max(row.noise for row in samples)
@@ -68,22 +70,30 @@
 
 def _measure(services: int, agents: int) -> _Sample:
     router, memory = measure_memory(lambda: _build(services, agents))
-    keys = make_keys(_PACKETS, services)
-    packets = [make_packet(key, ACK) for key in keys]
+    packets = [make_packet(key, ACK) for key in make_keys(_PACKETS, services)]
     views = random.Random(SEED).sample(list(router.views.values()), _CHANGES)
     configuration = ConfigurationChanged(router.configuration)
     packet = time_calls(lambda: [router.route(packet) for packet in packets])
     member = time_calls(lambda: [router.handle(ViewChanged(view), 0) for view in views])
     change = time_calls(lambda: router.handle(configuration, 0))
+    zones = time_calls(lambda: _move_zone(router))
     return _Sample(
         memory / KILOBYTE,
         packet.best / _PACKETS * MICROSECONDS,
         member.best / _CHANGES * _MILLISECONDS,
         change.best * _MILLISECONDS,
-        max(packet.noise, member.noise, change.noise),
+        zones.best / 2 * _MILLISECONDS,
+        max(packet.noise, member.noise, change.noise, zones.noise),
     )
 
 
+def _move_zone(router: EntryRouter) -> None:
+    present = router.configuration
+    without = present._replace(zones_out=frozenset(ZONES[:1]))
+    for configuration in (without, present):
+        router.handle(ConfigurationChanged(configuration), 0)
+
+
 def _build(services: int, agents: int) -> EntryRouter:
     router = EntryRouter(ZONES[0], Ipv4TcpCodec())
     router.handle(ConfigurationChanged(make_configuration(services)), 0)
