Add status, flow explain, waiting and zone overrides to the command

Missing: the command could not reach entry instances, so a publish was not followed until it was in force, a zone could not be changed while the store was down, and there was no status. Wrong: the Status call raised AttributeError at the entry instance (membership has no list of entries) and the caller hung until its time limit; an age of infinity is not JSON; usage errors ended with code 1.

Changed: status, flow explain, waiting with the names of lagging nodes, overrides after StoreUnavailableError or an unsettled write, the effect and a question before a zone with flows is taken out, exit codes 6 and 7, code 2 for usage errors. Entry instances keep the last heartbeat of each agent. A fault or a malformed request ends a control call with an error.

Conclusion: agents report the newest version they know of, not the one in force; the output says so.

--- a/packages/cli/src/persimmonreach/cli/_base.py
+++ b/packages/cli/src/persimmonreach/cli/_base.py
@@ -1,17 +1,19 @@
-"""Base class of the commands that use the store."""
+"""Base classes of the commands."""
 
 import getpass
 import os
 import time
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Iterable
 from random import SystemRandom
-from typing import Any, ClassVar, Final, TypeAlias
+from typing import Any, ClassVar, Final
 
 from cleo.commands.command import Command
 from cleo.helpers import option
 from cleo.io.inputs.option import Option
+from cleo.io.outputs.output import Type as OutputType
 
+from persimmonreach.cli._addresses import parse_address, raise_option
 from persimmonreach.cli._exit import (
     CANCELLED,
     UNCHANGED,
@@ -21,6 +23,13 @@
     report_outcome,
     report_store_error,
 )
+from persimmonreach.cli._tools import Tools
+from persimmonreach.cli._waiting import (
+    IN_FORCE,
+    NOT_WAITED,
+    VersionWait,
+    waiting_lines,
+)
 from persimmonreach.configuration import (
     Accepted,
     Plan,
@@ -30,28 +39,29 @@
     StoreError,
     Timing,
 )
-from persimmonreach.configuration.adapters import HttpStore
-from persimmonreach.core import (
-    Endpoint,
-    Finding,
-    FindingsError,
-    MonotonicClock,
-    raise_findings,
-)
+from persimmonreach.core import Endpoint, FindingsError
 
 STORE_VARIABLE: Final = 'PERSIMMONREACH_STORE'
+CONTROL_VARIABLE: Final = 'PERSIMMONREACH_CONTROL'
 _DEFAULT_TIMEOUT_S: Final = 30
 _MS_PER_S: Final = 1000
-_COMMAND_LINE: Final = 'command line'
 
 OUTPUT_OPTION: Final = option('output', None, 'text or json', flag=False, default='text')
+CONTROL_OPTION: Final = option(
+    'control',
+    None,
+    f'HOST:PORT of the control port of an entry instance, or {CONTROL_VARIABLE} '
+    'with a comma between several',
+    flag=False,
+    multiple=True,
+)
 STORE_OPTIONS: Final = (
     option('store', None, f'HOST:PORT of the store, or {STORE_VARIABLE}', flag=False),
     option('operator', None, 'Name for the audit trail', flag=False),
     option(
         'timeout',
         None,
-        'Seconds to settle a lost answer',
+        'Seconds to settle a lost answer, and to wait until a version is in force',
         flag=False,
         default=str(_DEFAULT_TIMEOUT_S),
     ),
@@ -59,9 +69,6 @@
 )
 YES_OPTION: Final = option('yes', 'y', 'Do not ask')
 
-# Waits until a version is in force everywhere; returns lines for people.
-Await: TypeAlias = Callable[[int, float], tuple[str, ...]]
-
 
 class ReportingCommand(Command, ABC):
     """Command that ends with a report and its exit code."""
@@ -86,7 +93,7 @@
     def _checked_run(self) -> Report:
         output = self.option('output')
         if output not in {'text', 'json'}:
-            _raise_option('--output', f'"{output}" is not known', 'text or json')
+            raise_option('--output', f'"{output}" is not known', 'text or json')
         return self._run()
 
     @abstractmethod
@@ -95,84 +102,110 @@
 
     def _show(self, report: Report) -> None:
         if self._is_json:
-            self.io.write_line(report.as_json())
+            self._write((report.as_json(),))
+            return
+        if report.code is ExitCode.DONE:
+            self._write(report.lines)
             return
-        is_error = report.code is not ExitCode.DONE
-        write = self.io.write_error_line if is_error else self.io.write_line
         for line in report.lines:
-            write(line)
+            self.io.write_error_line(line, type=OutputType.RAW)
+
+    def _write(self, lines: Iterable[str]) -> None:
+        """Write lines as they are: addresses and names are no markup."""
+        for line in lines:
+            self.io.write_line(line, type=OutputType.RAW)
 
 
-class StoreCommand(ReportingCommand):
-    """Command that uses the store.
+class EntryCommand(ReportingCommand):
+    """Command that calls entry instances.
 
     Parameters
     ----------
-    store_factory
-        Returns a client of the store.
-    await_version
-        Waits until an accepted version is in force everywhere.
+    tools
+        Store, calls and time.
 
     """
 
-    options: ClassVar[list[Option]] = list(STORE_OPTIONS)
+    options: ClassVar[list[Option]] = [CONTROL_OPTION, OUTPUT_OPTION]
 
-    def __init__(
-        self,
-        store_factory: Callable[[Endpoint], Store] = HttpStore,
-        await_version: Await | None = None,
-    ) -> None:
+    def __init__(self, tools: Tools) -> None:
         super().__init__()
-        self._store_factory = store_factory
-        self._await_version = await_version
+        self._tools = tools
+
+    def _controls(self) -> tuple[Endpoint, ...]:
+        preset = os.environ.get(CONTROL_VARIABLE, '').split(',')
+        texts: Iterable[str] = self.option('control') or filter(None, preset)
+        found = [parse_address('--control', text.strip()) for text in texts]
+        return tuple(dict.fromkeys(found))
+
+
+class StoreCommand(EntryCommand):
+    """Command that uses the store."""
+
+    options: ClassVar[list[Option]] = [CONTROL_OPTION, *STORE_OPTIONS]
 
     def _store(self) -> Store:
         address = self.option('store') or os.environ.get(STORE_VARIABLE, '')
-        host, _, port = address.rpartition(':')
-        if not host or not port.isdigit():
-            _raise_option('--store', f'"{address}" is not HOST:PORT', '127.0.0.1:2379')
-        return self._store_factory(Endpoint(host, int(port)))
+        return self._tools.store_factory(parse_address('--store', address))
 
     def _publisher(self, store: Store) -> Publisher:
         operator = self.option('operator') or getpass.getuser()
-        timing = Timing(MonotonicClock(), _wall_ms, time.sleep)
+        timing = Timing(self._tools.clock, wall_ms, self._tools.pause)
         settings = PublisherSettings(operator, self._timeout_s())
         return Publisher(settings, store, timing, SystemRandom())
 
     def _timeout_s(self) -> float:
         text: Any = self.option('timeout')
         try:
-            return float(text)
+            seconds = float(text)
         except ValueError:
-            _raise_option('--timeout', f'"{text}" is not a number', 'seconds, such as 30')
-            raise
+            seconds = -1
+        if not 0 <= seconds < float('inf'):
+            raise_option('--timeout', f'"{text}" is not a time', 'seconds, such as 30')
+        return seconds
 
     def _submit(self, publisher: Publisher, plan: Plan, ask: bool) -> Report:
-        """Show the difference, ask, and write the change."""
+        """Show the difference, ask, write the change and wait for it."""
         if not plan.difference:
             return UNCHANGED
         if not self._is_json:
-            for line in plan.difference:
-                self.line(line)
-        if ask and self._is_json:
-            _raise_option('--output', 'json cannot ask for consent', '--yes as well')
-        if ask and not self.confirm('Publish this change?', False):
+            self._write(plan.difference)
+        if ask and not self._consents('Publish this change?'):
             return CANCELLED
+        controls = self._controls()
         outcome = publisher.publish(plan)
         report = report_outcome(outcome)
         details = {**report.details, 'difference': plan.difference}
-        lines = report.lines
-        if self._await_version and isinstance(outcome, Accepted):
-            lines += self._await_version(outcome.version, self._timeout_s())
-        return report._replace(lines=lines, details=details)
+        report = report._replace(details=details)
+        if isinstance(outcome, Accepted):
+            return self._wait(report, outcome.version, controls)
+        return report
 
+    def _consents(self, question: str) -> bool:
+        if self._is_json:
+            raise_option('--output', 'json cannot ask for consent', '--yes as well')
+        try:
+            return self.confirm(question, False)
+        except (EOFError, RuntimeError):
+            # Input that has ended cannot consent.
+            return False
 
-def _wall_ms() -> int:
+    def _wait(
+        self,
+        report: Report,
+        version: int,
+        controls: tuple[Endpoint, ...],
+    ) -> Report:
+        wait = self._tools.await_version or VersionWait(self._tools).wait
+        waited = wait(version, controls, self._timeout_s())
+        is_done = waited.result in {IN_FORCE, NOT_WAITED}
+        return report._replace(
+            code=report.code if is_done else ExitCode.NOT_CONFIRMED,
+            lines=(*report.lines, *waiting_lines(waited)),
+            details={**report.details, 'waiting': waited._asdict()},
+        )
+
+
+def wall_ms() -> int:
+    """Return milliseconds of wall-clock time."""
     return int(time.time() * _MS_PER_S)
-
-
-def _raise_option(name: str, problem: str, remedy: str) -> None:
-    raise_findings(
-        'invalid command',
-        [Finding(_COMMAND_LINE, name, problem, f'write {remedy}')],
-    )
--- a/packages/cli/src/persimmonreach/cli/_commands.py
+++ b/packages/cli/src/persimmonreach/cli/_commands.py
@@ -1,4 +1,4 @@
-"""Commands for declarations, zones and the audit trail."""
+"""Commands for declarations and the audit trail."""
 
 from datetime import UTC, datetime
 from typing import ClassVar, Final
@@ -8,6 +8,7 @@
 from cleo.io.inputs.option import Option
 
 from persimmonreach.cli._base import (
+    CONTROL_OPTION,
     STORE_OPTIONS,
     YES_OPTION,
     ReportingCommand,
@@ -16,12 +17,10 @@
 from persimmonreach.cli._exit import ExitCode, Report
 from persimmonreach.configuration import AuditRecord, read_audit, read_head
 from persimmonreach.configuration.adapters import check_declarations
-from persimmonreach.core import Zone
 
 _DIRECTORIES: Final = argument(
     'directories', 'Directories of declarations', multiple=True
 )
-_ZONE: Final = argument('zone', 'Name of the availability zone')
 _MS_PER_S: Final = 1000
 
 
@@ -47,7 +46,7 @@
     name = 'publish'
     description = 'Check declarations, show the difference and publish it'
     arguments: ClassVar[list[Argument]] = [_DIRECTORIES]
-    options: ClassVar[list[Option]] = [YES_OPTION, *STORE_OPTIONS]
+    options: ClassVar[list[Option]] = [YES_OPTION, CONTROL_OPTION, *STORE_OPTIONS]
 
     def _run(self) -> Report:
         declarations = check_declarations(*self.argument('directories'))
@@ -56,32 +55,6 @@
         return self._submit(publisher, plan, ask=not self.option('yes'))
 
 
-class ZoneOutCommand(StoreCommand):
-    """Takes an availability zone out of service."""
-
-    name = 'availability-zone out'
-    description = 'Take an availability zone out of service'
-    arguments: ClassVar[list[Argument]] = [_ZONE]
-
-    def _run(self) -> Report:
-        publisher = self._publisher(self._store())
-        plan = publisher.plan_zone(Zone(self.argument('zone')), out=True)
-        return self._submit(publisher, plan, ask=False)
-
-
-class ZoneInCommand(StoreCommand):
-    """Puts an availability zone back in service."""
-
-    name = 'availability-zone in'
-    description = 'Put an availability zone back in service'
-    arguments: ClassVar[list[Argument]] = [_ZONE]
-
-    def _run(self) -> Report:
-        publisher = self._publisher(self._store())
-        plan = publisher.plan_zone(Zone(self.argument('zone')), out=False)
-        return self._submit(publisher, plan, ask=False)
-
-
 class AuditCommand(StoreCommand):
     """Shows the kept audit records."""
 
--- a/packages/cli/src/persimmonreach/cli/_exit.py
+++ b/packages/cli/src/persimmonreach/cli/_exit.py
@@ -21,6 +21,8 @@
     NOT_ACCEPTED = 3
     UNSETTLED = 4
     STORE_UNAVAILABLE = 5
+    NOT_CONFIRMED = 6
+    NO_ENTRY_ANSWERS = 7
 
 
 class Report(NamedTuple):
--- a/packages/cli/src/persimmonreach/cli/main.py
+++ b/packages/cli/src/persimmonreach/cli/main.py
@@ -1,44 +1,54 @@
 """Entry point of ``persimmonreach``."""
 
 import sys
-from collections.abc import Callable
+from typing import Final
 
 from cleo.application import Application
-
-from persimmonreach.cli._base import Await
-from persimmonreach.cli._commands import (
-    AuditCommand,
-    CheckCommand,
+from cleo.exceptions import CleoError
+from cleo.io.io import IO
+from cleo.io.outputs.output import Type as OutputType
+
+from persimmonreach.cli._commands import AuditCommand, CheckCommand, PublishCommand
+from persimmonreach.cli._exit import ExitCode
+from persimmonreach.cli._status import FlowExplainCommand, StatusCommand
+from persimmonreach.cli._tools import Tools
+from persimmonreach.cli._zones import ZoneInCommand, ZoneOutCommand
+
+_VERSION: Final = '0.1.0'
+_COMMANDS: Final = (
     PublishCommand,
-    ZoneInCommand,
     ZoneOutCommand,
+    ZoneInCommand,
+    StatusCommand,
+    FlowExplainCommand,
+    AuditCommand,
 )
-from persimmonreach.configuration import Store
-from persimmonreach.configuration.adapters import HttpStore
-from persimmonreach.core import Endpoint
 
-_VERSION = '0.1.0'
+
+class OperatorApplication(Application):
+    """Application whose usage errors end with the exit code of findings."""
+
+    def _run(self, io: IO) -> int:
+        try:
+            return super()._run(io)
+        except CleoError as error:
+            io.write_error_line(str(error), type=OutputType.RAW)
+            return ExitCode.FINDINGS
 
 
-def make_application(
-    store_factory: Callable[[Endpoint], Store] = HttpStore,
-    await_version: Await | None = None,
-) -> Application:
+def make_application(tools: Tools | None = None) -> Application:
     """Return the application with all commands.
 
     Parameters
     ----------
-    store_factory
-        Returns a client of the store at an address.
-    await_version
-        Waits until a version is in force everywhere, for at most the given
-        seconds, and returns lines to show; nothing to skip the wait.
+    tools
+        Store, calls and time.
 
     """
-    application = Application('persimmonreach', _VERSION)
+    application = OperatorApplication('persimmonreach', _VERSION)
     application.add(CheckCommand())
-    for command_type in (PublishCommand, ZoneOutCommand, ZoneInCommand, AuditCommand):
-        application.add(command_type(store_factory, await_version))
+    for command_type in _COMMANDS:
+        application.add(command_type(tools or Tools()))
     return application
 
 
--- a/packages/cli/tests/test_cli.py
+++ b/packages/cli/tests/test_cli.py
@@ -6,9 +6,10 @@
 import pytest
 from cleo.testers.application_tester import ApplicationTester
 
+from persimmonreach.cli._tools import Tools, Waited
 from persimmonreach.cli.main import make_application
 from persimmonreach.configuration import ABSENT, Head, StoreValue, encode_head, read_head
-from persimmonreach.core import ManualClock
+from persimmonreach.core import Endpoint, ManualClock
 from persimmonreach.standins.store_fake import FakeStore
 from persimmonreach.standins.store_state import Faults
 
@@ -21,7 +22,9 @@
         self.directory = directory
         self.write(1)
         (directory / 'zones.json').write_text('{"availability_zones": ["a", "b"]}')
-        application = make_application(lambda endpoint: self.store, _wait)
+        application = make_application(
+            Tools(lambda endpoint: self.store, await_version=_wait)
+        )
         self.tester = ApplicationTester(application)
 
     @property
@@ -40,8 +43,8 @@
         return self.run(f'publish {self.directory} {options} {STORE}', answer)
 
 
-def _wait(version: int, timeout_s: float) -> tuple[str, ...]:
-    return (f'waited for {version}',)
+def _wait(version: int, controls: tuple[Endpoint, ...], timeout_s: float) -> Waited:
+    return Waited('in_force', version, seconds=0.25 + version)
 
 
 @pytest.fixture
@@ -62,7 +65,7 @@
     assert cli.publish() == 0
     text = cli.text
     assert 'service x: added' in text
-    assert 'waited for 1' in text
+    assert 'In force at all entry instances and known to all agents after 1.25 s.' in text
     assert cli.publish('--yes --output json') == 0
     assert json.loads(cli.text)['result'] == 'unchanged'
 
--- a/packages/control/src/persimmonreach/control/__init__.py
+++ b/packages/control/src/persimmonreach/control/__init__.py
@@ -2,8 +2,12 @@
 
 from persimmonreach.control.messages import (
     METHODS,
+    Answer,
+    EntryStatus,
     ExplainReply,
     ExplainRequest,
+    MemberReport,
+    MemberStatus,
     StatusReply,
     StatusRequest,
     ZoneReply,
@@ -12,8 +16,12 @@
 
 __all__ = (
     'METHODS',
+    'Answer',
+    'EntryStatus',
     'ExplainReply',
     'ExplainRequest',
+    'MemberReport',
+    'MemberStatus',
     'StatusReply',
     'StatusRequest',
     'ZoneReply',
--- a/packages/control/src/persimmonreach/control/adapters.py
+++ b/packages/control/src/persimmonreach/control/adapters.py
@@ -9,20 +9,30 @@
 import socket
 from abc import ABC, abstractmethod
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Any, Final
 
 import gevent
 import msgspec
+from gevent.event import Event
 from grpclib.client import Channel
-from grpclib.const import Cardinality, Handler
+from grpclib.const import Cardinality, Handler, Status
 from grpclib.encoding.base import CodecBase
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from grpclib.server import Server, Stream
 
-from persimmonreach.control.messages import METHODS
+from persimmonreach.control.messages import METHODS, Answer
 from persimmonreach.core import Endpoint
 
 _CALL_TIMEOUT_S: Final = 5
+_CALL_ERRORS: Final = (
+    OSError,
+    asyncio.TimeoutError,
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+    msgspec.MsgspecError,
+)
 
 
 class JsonCodec(CodecBase):
@@ -83,7 +93,7 @@
     def start(self) -> None:
         """Start the thread and wait until it listens."""
         self._watcher.start(self._answer_calls)
-        listening = gevent.event.Event()
+        listening = Event()
         self._started.start(listening.set)
         gevent.get_hub().threadpool.spawn(self._run_loop)
         listening.wait()
@@ -125,7 +135,11 @@
     def _drain_calls(self) -> None:
         while self._calls:
             request, reply = self._calls.popleft()
-            answer = self._service.call(request)
+            try:
+                answer = self._service.call(request)
+            except Exception as error:
+                # Without an answer the caller would wait for its time limit.
+                answer = GRPCError(Status.INTERNAL, repr(error))
             self._loop.call_soon_threadsafe(_settle, reply, answer)
 
 
@@ -147,16 +161,53 @@
         }
 
     async def _handle(self, stream: Stream) -> None:
-        request = await stream.recv_message()
+        try:
+            request = await stream.recv_message()
+        except msgspec.DecodeError as error:
+            raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
         if request is not None:
             await stream.send_message(await self._server.submit(request))
 
 
 def _settle(reply: asyncio.Future, answer: Any) -> None:
-    if not reply.done():
+    if reply.done():
+        return
+    if isinstance(answer, GRPCError):
+        reply.set_exception(answer)
+    else:
         reply.set_result(answer)
 
 
+class EntryCalls(ABC):
+    """Calls of the operators' service of several entry instances."""
+
+    @abstractmethod
+    def ask(self, endpoints: Sequence[Endpoint], request: Any) -> tuple[Answer, ...]:
+        """Return what came of the call to each of ``endpoints``, in order."""
+
+
+class GrpcEntryCalls(EntryCalls):
+    """Calls all entry instances at once; one that hangs costs 5 s in total."""
+
+    def ask(self, endpoints: Sequence[Endpoint], request: Any) -> tuple[Answer, ...]:
+        """Return what came of the call to each of ``endpoints``, in order."""
+        return asyncio.run(_ask_all(endpoints, request))
+
+
+async def _ask_all(endpoints: Sequence[Endpoint], request: Any) -> tuple[Answer, ...]:
+    calls = [_ask_one(endpoint, request) for endpoint in endpoints]
+    return tuple(await asyncio.gather(*calls))
+
+
+async def _ask_one(endpoint: Endpoint, request: Any) -> Answer:
+    try:
+        return Answer(endpoint, await call_entry(endpoint, request))
+    except asyncio.TimeoutError:
+        return Answer(endpoint, problem=f'no reply within {_CALL_TIMEOUT_S} s')
+    except _CALL_ERRORS as error:
+        return Answer(endpoint, problem=str(error) or type(error).__name__)
+
+
 async def call_entry(endpoint: Endpoint, request: Any) -> Any:
     """Call the operators' service of one entry instance.
 
--- a/packages/control/src/persimmonreach/control/messages.py
+++ b/packages/control/src/persimmonreach/control/messages.py
@@ -1,15 +1,50 @@
 """Requests and replies of the operators' service."""
 
 from types import MappingProxyType
-from typing import Final, NamedTuple
+from typing import Any, Final, NamedTuple
+
+from persimmonreach.core import Endpoint
 
 
 class StatusRequest(NamedTuple):
     """Asks for the members that an entry instance knows."""
 
 
+class MemberReport(NamedTuple):
+    """Last heartbeat of an agent at one of its registrars.
+
+    Attributes
+    ----------
+    config_version
+        Newest version that the agent knows to exist; it puts that in force as
+        soon as it has pulled it.
+    age_s
+        Seconds since the heartbeat.
+    flows
+        Flows at the backend server.
+    flow_limit
+        Flows that the agent admits at most.
+    incarnation
+        Incarnation that sent it; the agent may have been restarted since.
+
+    """
+
+    config_version: int
+    age_s: float
+    flows: int
+    flow_limit: int
+    incarnation: int
+
+
 class MemberStatus(NamedTuple):
-    """One agent as the entry instance sees it."""
+    """One agent as the entry instance sees it.
+
+    Attributes
+    ----------
+    report
+        Last heartbeat; nothing if the entry instance received none.
+
+    """
 
     service: str
     agent: str
@@ -17,6 +52,7 @@
     state: str
     alive: bool
     incarnation: int
+    report: MemberReport | None = None
 
 
 class EntryStatus(NamedTuple):
@@ -36,22 +72,26 @@
     configuration_version
         Version in force there.
     configuration_age_s
-        Seconds since the version was last confirmed to be current.
+        Seconds since the version was last confirmed to be current; nothing
+        if it was not since the start of the process.
     zones_out
         Availability zones taken out of service.
     members
         Known agents.
     entries
         Registered entry instances.
+    ready
+        Whether the fabric should hand packets to the instance.
 
     """
 
     instance: str
     configuration_version: int
-    configuration_age_s: float
+    configuration_age_s: float | None
     zones_out: tuple[str, ...]
     members: tuple[MemberStatus, ...]
     entries: tuple[EntryStatus, ...]
+    ready: bool = False
 
 
 class ExplainRequest(NamedTuple):
@@ -102,6 +142,25 @@
     reason: str
 
 
+class Answer(NamedTuple):
+    """What came of a call to one entry instance.
+
+    Attributes
+    ----------
+    endpoint
+        Control address that was called.
+    reply
+        Reply; nothing if there is none.
+    problem
+        Why there is no reply.
+
+    """
+
+    endpoint: Endpoint
+    reply: Any = None
+    problem: str = ''
+
+
 class Method(NamedTuple):
     """One method of the operators' service."""
 
--- a/packages/daemon/src/persimmonreach/daemon/_agent_status.py
+++ b/packages/daemon/src/persimmonreach/daemon/_agent_status.py
@@ -1,5 +1,6 @@
 """What an agent reports of itself."""
 
+import math
 from typing import Any
 
 from persimmonreach.configuration import AgentConfiguration
@@ -55,7 +56,8 @@
             'service': self._settings.service,
             'ready': self.is_ready(),
             'configuration_version': configuration.version,
-            'configuration_age_s': self.age(),
+            # JSON has no infinity, which stands for "never confirmed".
+            'configuration_age_s': None if math.isinf(self.age()) else self.age(),
             'zones_out': sorted(configuration.zones_out),
         }
         if self._flows is not None:
--- a/packages/daemon/src/persimmonreach/daemon/_entry_status.py
+++ b/packages/daemon/src/persimmonreach/daemon/_entry_status.py
@@ -1,18 +1,21 @@
 """What an entry instance reports of itself."""
 
+import math
 from typing import Any, NamedTuple
 
 from persimmonreach.configuration import EntryConfiguration, OverrideSet
 from persimmonreach.control import (
+    EntryStatus,
     ExplainReply,
     ExplainRequest,
+    MemberReport,
+    MemberStatus,
     StatusReply,
     ZoneReply,
     ZoneRequest,
 )
 from persimmonreach.control.adapters import OperatorService
-from persimmonreach.control.messages import EntryStatus, MemberStatus
-from persimmonreach.core import Clock, Endpoint, Zone
+from persimmonreach.core import AgentId, Clock, Endpoint, Zone
 from persimmonreach.daemon._settings import EntrySettings
 from persimmonreach.membership import EntryMembership
 from persimmonreach.observability.tasks import StatusSource
@@ -73,9 +76,13 @@
             'members': [row._asdict() for row in member_rows(self._state)],
         }
 
-    def age(self) -> float:
-        """Return the seconds since the version was confirmed to be current."""
-        return round(self._state.configuration.age(self._state.clock.now()), 1)
+    def age(self) -> float | None:
+        """Return the seconds since the version was confirmed, if it was.
+
+        JSON has no infinity, which the decisions use for "never".
+        """
+        age = self._state.configuration.age(self._state.clock.now())
+        return None if math.isinf(age) else round(age, 1)
 
 
 class EntryOperatorService(OperatorService):
@@ -121,8 +128,10 @@
             tuple(sorted(configuration.zones_out)),
             tuple(member_rows(self._state)),
             tuple(
-                EntryStatus(row.entry, row.zone) for row in self._state.membership.entries
+                EntryStatus(row.entry, row.zone)
+                for row in self._state.configuration.entries
             ),
+            self._status.is_ready(),
         )
 
     def _explain(self, request: ExplainRequest) -> ExplainReply:
@@ -152,7 +161,7 @@
         self._task.post(
             OverrideSet(zone, request.out, request.sequence, request.override_id),
         )
-        return ZoneReply(True, 'in force here; spreads to the others')
+        return ZoneReply(True, 'taken; spreads to the others')
 
 
 def member_rows(state: EntryState) -> list[MemberStatus]:
@@ -166,12 +175,26 @@
             member.state.name.lower(),
             member.alive,
             member.incarnation,
+            _last_report(state, member.agent),
         )
         for view in state.router.views.values()
         for member in view.members
     ]
 
 
+def _last_report(state: EntryState, agent: AgentId) -> MemberReport | None:
+    report = state.membership.report_of(agent)
+    if report is None:
+        return None
+    return MemberReport(
+        report.config_version,
+        round(state.clock.now() - report.heard_at, 1),
+        report.flows,
+        report.flow_limit,
+        report.incarnation,
+    )
+
+
 def _reason(found: RouteExplanation) -> str:
     if found.service is None:
         return 'no service has this address'
--- a/packages/membership/src/persimmonreach/membership/_entry.py
+++ b/packages/membership/src/persimmonreach/membership/_entry.py
@@ -12,6 +12,7 @@
 )
 from persimmonreach.core import (
     Action,
+    AgentId,
     Endpoint,
     Event,
     Received,
@@ -29,6 +30,7 @@
 from persimmonreach.membership._lists import ListFollower
 from persimmonreach.membership._progress import EntryProgress
 from persimmonreach.membership._registrars import RegistrarSets
+from persimmonreach.membership._reports import AgentReport, AgentReports
 from persimmonreach.membership._retention import Retention
 from persimmonreach.membership._rows import RowChanges
 from persimmonreach.membership._settings import MembershipSettings
@@ -78,6 +80,7 @@
         self._retention = Retention(self._table, settings.retention_s)
         self._lists = ListFollower(self._registrars)
         self._progress = EntryProgress()
+        self._reports = AgentReports()
         self._handlers = MappingProxyType(
             {
                 Heartbeat: self._answer,
@@ -114,6 +117,10 @@
         """Return the present view of a service."""
         return self._table.view(service)
 
+    def report_of(self, agent: AgentId) -> AgentReport | None:
+        """Return the last heartbeat of an agent, if one was received here."""
+        return self._reports.find(agent)
+
     def handle(self, event: Event, now: float) -> tuple[Action, ...]:
         """Return the actions that ``event`` causes."""
         self._duty.note_time(now)
@@ -162,6 +169,7 @@
         self._changes.settle(now)
         for service in self._retention.sweep(now):
             self._changes.note(service)
+        self._reports.forget_removed(self._table)
 
     def _compare_with_peer(self) -> tuple[Action, ...]:
         peers = self._peers
@@ -176,6 +184,7 @@
         now: float,
     ) -> Iterable[Action]:
         member = heartbeat.member
+        self._reports.note(heartbeat, now)
         self._changes.publish((MemberRow(member._replace(alive=True)),), now)
         is_dead = self._duty.has_declared_dead(member)
         is_granted = self._may_grant(now) and self._duty.grant(member, now)
