Name the fields of effects and refuse to ask without a terminal

A question on a standard input that is not a terminal was answered with "no" without being shown, so the command ended as cancelled. The effects of a zone change are objects with names in JSON instead of arrays, and the status no longer repeats empty lists.

--- a/packages/cli/src/persimmonreach/cli/_base.py
+++ b/packages/cli/src/persimmonreach/cli/_base.py
@@ -184,6 +184,8 @@
     def _consents(self, question: str) -> bool:
         if self._is_json:
             raise_option('--output', 'json cannot ask for consent', '--yes as well')
+        if not self.io.is_interactive():
+            raise_option('--yes', 'no terminal to ask for consent at', '--yes')
         try:
             return self.confirm(question, False)
         except (EOFError, RuntimeError):
--- a/packages/cli/src/persimmonreach/cli/_effect.py
+++ b/packages/cli/src/persimmonreach/cli/_effect.py
@@ -50,13 +50,18 @@
 
 def effect_lines(effects: Iterable[ServiceEffect]) -> tuple[str, ...]:
     """Return the effects for people."""
-    return tuple(
-        f'{effect.service}: {effect.leaving} backend servers leave service and '
-        f'{effect.flows_ending} flows end; {effect.remaining} backend servers '
-        f'remain with room for {effect.room} more flows '
-        f'(no figures of {effect.without_figures} backend servers)'
-        for effect in effects
+    return tuple(map(_line, effects))
+
+
+def _line(effect: ServiceEffect) -> str:
+    line = (
+        f'{effect.service}: flows that end: {effect.flows_ending}; backend servers '
+        f'that leave service: {effect.leaving}, that remain: {effect.remaining}, '
+        f'with room for more flows: {effect.room}'
     )
+    if effect.without_figures:
+        return f'{line}; backend servers without figures: {effect.without_figures}'
+    return line
 
 
 def _effect(
--- a/packages/cli/src/persimmonreach/cli/_status.py
+++ b/packages/cli/src/persimmonreach/cli/_status.py
@@ -22,6 +22,7 @@
 from persimmonreach.core import Endpoint
 
 _CALLER: Final = argument('caller', 'Address and port of the caller, HOST:PORT')
+_MERGED_FIELDS: Final = frozenset(('members', 'entries'))
 _SERVICE: Final = argument('service', 'Address and port of the service, HOST:PORT')
 
 
@@ -50,9 +51,7 @@
         if not picture.entries:
             return _report_silence(picture.failed)
         details = {
-            'entries': [
-                reply._asdict() for reply in map(_without_lists, picture.entries)
-            ],
+            'entries': [_entry_fields(reply) for reply in picture.entries],
             'zones_out': sorted(picture.zones_out),
             'members': [_member_fields(row) for row in picture.members],
             'unanswered': [failed._asdict() for failed in picture.failed],
@@ -106,9 +105,10 @@
     return '  {0}:{1}: {2}'.format(*failed.endpoint, failed.problem)
 
 
-def _without_lists(reply: StatusReply) -> StatusReply:
-    """Return the reply without what is shown merged."""
-    return reply._replace(members=(), entries=())
+def _entry_fields(reply: StatusReply) -> dict[str, Any]:
+    """Return the reply without the lists that are shown merged."""
+    fields = reply._asdict()
+    return {name: fields[name] for name in fields if name not in _MERGED_FIELDS}
 
 
 def _member_fields(row: MemberStatus) -> dict[str, Any]:
--- a/packages/cli/src/persimmonreach/cli/_zones.py
+++ b/packages/cli/src/persimmonreach/cli/_zones.py
@@ -1,7 +1,7 @@
 """Commands that take an availability zone out of service and back."""
 
 from random import SystemRandom
-from typing import Any, ClassVar, Final
+from typing import ClassVar, Final
 
 from cleo.helpers import argument
 from cleo.io.inputs.argument import Argument
@@ -14,7 +14,7 @@
     StoreCommand,
     wall_ms,
 )
-from persimmonreach.cli._effect import effect_lines, find_effects
+from persimmonreach.cli._effect import ServiceEffect, effect_lines, find_effects
 from persimmonreach.cli._exit import CANCELLED, ExitCode, Report
 from persimmonreach.cli._override import override_zone
 from persimmonreach.cli._picture import make_picture
@@ -36,11 +36,12 @@
     def _run(self) -> Report:
         publisher = self._publisher(self._store())
         plan = self._plan(publisher)
-        effects = self._effects() if self._out else {}
+        effects = self._effects() if self._out else ()
         if effects and not self._is_agreed(effects):
             return CANCELLED
         report = self._write_or_override(publisher, plan)
-        return report._replace(details={**report.details, **effects})
+        fields = [effect._asdict() for effect in effects]
+        return report._replace(details={**report.details, 'effects': fields})
 
     def _plan(self, publisher: Publisher) -> Plan | None:
         try:
@@ -75,13 +76,11 @@
         controls = self._controls()
         return override_zone(self._tools, controls, request, self._timeout_s())
 
-    def _effects(self) -> dict[str, Any]:
+    def _effects(self) -> tuple[ServiceEffect, ...]:
         answers = self._tools.calls.ask(self._controls(), StatusRequest())
-        effects = find_effects(make_picture(answers), self.argument('zone'))
-        return {'effects': effects} if effects else {}
+        return find_effects(make_picture(answers), self.argument('zone'))
 
-    def _is_agreed(self, details: dict[str, Any]) -> bool:
-        effects = details['effects']
+    def _is_agreed(self, effects: tuple[ServiceEffect, ...]) -> bool:
         if not self._is_json:
             self._write(effect_lines(effects))
         ends_flows = any(effect.flows_ending for effect in effects)
--- a/packages/cli/tests/test_entries.py
+++ b/packages/cli/tests/test_entries.py
@@ -299,12 +299,18 @@
     ready.entries.set_version(9)
     out = f'availability-zone out a {STORE} {BOTH}'
     assert ready.run(out, 'no\n') == 3
-    assert '1 backend servers leave service and 30 flows end' in ready.text
+    assert (
+        'flows that end: 30; backend servers that leave service: 1, that remain: 1'
+        in ready.text
+    )
     assert ready.run(f'{out} --output json') == 2
     assert not read_head(ready.store).head.zones[0].out
+    assert ready.tester.execute(out, interactive=False) == 2
+    assert 'no terminal' in ready.errors
     code, result = ready.run_json(f'{out} --yes')
     assert code == 0
-    assert result['effects'][0][4] == 60
+    assert result['effects'][0]['room'] == 60
+    assert result['effects'][0]['flows_ending'] == 30
     assert read_head(ready.store).head.zones[0].out
 
 
