--- a/packages/cli/src/persimmonreach/cli/_picture.py
+++ b/packages/cli/src/persimmonreach/cli/_picture.py
@@ -19,7 +19,7 @@
         Calls without an answer.
     members
         Agents, ordered by service and id, each with its newest report.
-    not_asked
+    not_heard
         Registered entry instances that did not answer under any address.
 
     """
@@ -27,7 +27,7 @@
     entries: tuple[StatusReply, ...]
     failed: tuple[Answer, ...]
     members: tuple[MemberStatus, ...]
-    not_asked: tuple[str, ...]
+    not_heard: tuple[str, ...]
 
     @property
     def present_members(self) -> tuple[MemberStatus, ...]:
--- a/packages/cli/src/persimmonreach/cli/_status.py
+++ b/packages/cli/src/persimmonreach/cli/_status.py
@@ -55,7 +55,7 @@
             'zones_out': sorted(picture.zones_out),
             'members': [_member_fields(row) for row in picture.members],
             'unanswered': [failed._asdict() for failed in picture.failed],
-            'not_asked': picture.not_asked,
+            'not_heard': picture.not_heard,
         }
         return Report(ExitCode.DONE, 'status', tuple(_status_lines(picture)), details)
 
@@ -120,7 +120,7 @@
     yield 'Entry instances:'
     yield from map(_entry_line, picture.entries)
     yield from map(_failure_line, picture.failed)
-    yield from (f'  {entry}: not asked' for entry in picture.not_asked)
+    yield from (f'  {entry}: registered, but not heard' for entry in picture.not_heard)
     zones_out = ', '.join(sorted(picture.zones_out)) or 'none'
     yield f'Availability zones out of service: {zones_out}'
     yield 'Backend servers:'
--- a/packages/cli/src/persimmonreach/cli/_waiting.py
+++ b/packages/cli/src/persimmonreach/cli/_waiting.py
@@ -70,7 +70,10 @@
     return Progress(
         lagging,
         (
-            *(f'entry instance {entry}: not asked' for entry in picture.not_asked),
+            *(
+                f'entry instance {entry}: registered, but not heard'
+                for entry in picture.not_heard
+            ),
             *(f'agent {agent}: no heartbeat at those asked' for agent in agents),
         ),
     )
--- a/packages/cli/tests/test_entries.py
+++ b/packages/cli/tests/test_entries.py
@@ -246,7 +246,7 @@
     code, result = cli.run_json(f'status {BOTH}')
     assert code == 0
     assert result['unanswered'][0]['problem'] == 'no reply within 5 s'
-    assert result['not_asked'] == ['e1']
+    assert result['not_heard'] == ['e1']
     cli.entries.silent = {11, 12}
     assert cli.run(f'status {BOTH}') == 7
     assert 'No entry instance answers' in cli.errors
--- a/packages/daemon/src/persimmonreach/daemon/_entry_status.py
+++ b/packages/daemon/src/persimmonreach/daemon/_entry_status.py
@@ -73,7 +73,7 @@
             'configuration_version': configuration.version,
             'configuration_age_s': self.age(),
             'zones_out': sorted(configuration.zones_out),
-            'members': [row._asdict() for row in member_rows(self._state)],
+            'members': [_fields(row) for row in member_rows(self._state)],
         }
 
     def age(self) -> float | None:
@@ -182,6 +182,11 @@
     ]
 
 
+def _fields(row: MemberStatus) -> dict[str, Any]:
+    report = row.report._asdict() if row.report else None
+    return {**row._asdict(), 'report': report}
+
+
 def _last_report(state: EntryState, agent: AgentId) -> MemberReport | None:
     report = state.membership.report_of(agent)
     if report is None:
