--- a/packages/proof/src/persimmonreach/proof/bench_entry.py
+++ b/packages/proof/src/persimmonreach/proof/bench_entry.py
@@ -73,7 +73,7 @@
     packets = [make_packet(key, ACK) for key in make_keys(_PACKETS, services)]
     views = random.Random(SEED).sample(list(router.views.values()), _CHANGES)
     configuration = ConfigurationChanged(router.configuration)
-    packet = time_calls(lambda: [router.route(packet) for packet in packets])
+    packet = time_calls(lambda: [router.route(packet, 0) for packet in packets])
     member = time_calls(lambda: [router.handle(ViewChanged(view), 0) for view in views])
     change = time_calls(lambda: router.handle(configuration, 0))
     zones = time_calls(lambda: _move_zone(router))
--- a/packages/proof/src/persimmonreach/proof/bench_world.py
+++ b/packages/proof/src/persimmonreach/proof/bench_world.py
@@ -99,7 +99,7 @@
 
     def send_packet(self, packet: bytes) -> None:
         """Send a caller's packet by way of the entry instance."""
-        route = self._entry.route(packet)
+        route = self._entry.route(packet, 0)
         if isinstance(route, Forward):
             sender = Endpoint('10.30.0.1', 1)
             self._schedule(route.to, Received(sender, route.message))
--- a/packages/proof/tests/test_bench_entry_table.py
+++ b/packages/proof/tests/test_bench_entry_table.py
@@ -36,4 +36,4 @@
     changed, fresh = _apply(history, views), _apply(history[-1:], views)
     for key in make_keys(200, SERVICES):
         packet = make_packet(key, ACK)
-        assert changed.route(packet) == fresh.route(packet)
+        assert changed.route(packet, 0) == fresh.route(packet, 0)
