--- a/packages/daemon/src/persimmonreach/daemon/_agent_process.py
+++ b/packages/daemon/src/persimmonreach/daemon/_agent_process.py
@@ -21,7 +21,7 @@
 from persimmonreach.daemon._agent_parts import make_router
 from persimmonreach.daemon._agent_status import AgentStatusSource
 from persimmonreach.daemon._dispatch import Dispatcher
-from persimmonreach.daemon._figures import TaskFigures
+from persimmonreach.daemon._figures import TaskFigures, add_counts
 from persimmonreach.daemon._service_waiter import ServiceWaiter, find_service
 from persimmonreach.daemon._settings import AgentSettings, shared_keys
 from persimmonreach.daemon._shutdown import StopSignal
@@ -40,7 +40,12 @@
 )
 from persimmonreach.membership.messages import MESSAGE_TYPES as MEMBERSHIP_TYPES
 from persimmonreach.membership.tasks import AgentMembershipTask
-from persimmonreach.observability import Counters, configure_logs
+from persimmonreach.observability import (
+    AGENT_PROMISES,
+    Counters,
+    configure_logs,
+    promised_counters,
+)
 from persimmonreach.observability.tasks import HttpEndpoint
 from persimmonreach.packets.adapters import UdpBackendServer, UdpFabric
 from persimmonreach.routing import DrainRequested
@@ -73,7 +78,7 @@
     def __init__(self, settings: AgentSettings) -> None:
         self._settings = settings
         self._clock = MonotonicClock()
-        self._counters = Counters()
+        self._counters = Counters(promised_counters(AGENT_PROMISES))
         self._logger = configure_logs(settings.instance)
         self._dispatcher = Dispatcher(self._counters, self._logger)
         self._configuration = AgentConfiguration(
@@ -212,15 +217,12 @@
         flows: FlowTask,
         status: AgentStatusSource,
     ) -> None:
-        router = flows.router
         self._counters.register(
             TaskFigures(
-                lambda: {**peers.counts, **flows.counts},
+                lambda: add_counts(peers.counts, flows.counts),
                 lambda: {
-                    'flows': router.flow_count,
-                    'buckets_owned': router.owned_buckets,
-                    'request_limit': router.request_limit,
-                    'draining': int(router.is_draining),
+                    **flows.router.gauges,
+                    'ready': int(status.is_ready()),
                     'configuration_version': self._configuration.configuration.version,
                     'configuration_age_seconds': status.age(),
                 },
@@ -240,6 +242,12 @@
             gevent.sleep(_DRAIN_POLL_S)
             while router.has_requests or router.owned_buckets:
                 gevent.sleep(_DRAIN_POLL_S)
+        self._logger.info(
+            'drained',
+            requests_left=router.gauges['requests_running'],
+            flows_left=router.flow_count,
+            buckets_left=router.owned_buckets,
+        )
         if not router.flow_count:
             self._dispatcher.accept(StateAnnounced(MemberState.LEFT))
             gevent.sleep(self._settings.membership.heartbeat_s)
--- a/packages/daemon/src/persimmonreach/daemon/_entry_process.py
+++ b/packages/daemon/src/persimmonreach/daemon/_entry_process.py
@@ -35,7 +35,12 @@
 from persimmonreach.membership import EntryMembership, ViewChanged
 from persimmonreach.membership.messages import MESSAGE_TYPES as MEMBERSHIP_TYPES
 from persimmonreach.membership.tasks import EntryMembershipTask
-from persimmonreach.observability import Counters, configure_logs
+from persimmonreach.observability import (
+    ENTRY_PROMISES,
+    Counters,
+    configure_logs,
+    promised_counters,
+)
 from persimmonreach.observability.tasks import HttpEndpoint
 from persimmonreach.packets import Ipv4TcpCodec
 from persimmonreach.packets.adapters import UdpFabric
@@ -61,7 +66,7 @@
     def __init__(self, settings: EntrySettings) -> None:
         self._settings = settings
         self._clock = MonotonicClock()
-        self._counters = Counters()
+        self._counters = Counters(promised_counters(ENTRY_PROMISES))
         self._logger = configure_logs(settings.instance)
         self._dispatcher = Dispatcher(self._counters, self._logger)
 
@@ -103,9 +108,7 @@
             self._dispatcher.accept,
             self._clock,
         )
-        store = HttpStore(self._settings.store)
-        stack.callback(store.close)
-        configuration_task = self._make_configuration_task(state, entry, peers, store)
+        configuration_task = self._make_configuration_task(state, entry, peers, stack)
         self._dispatcher.connect(
             {
                 ConfigurationChanged: (fabric_task, membership_task),
@@ -117,8 +120,9 @@
         peers.connect(dict.fromkeys(CONFIGURATION_TYPES.values(), configuration_task))
         for task in (peers, membership_task, configuration_task, fabric_task):
             stack.enter_context(task)
-        self._publish_figures(state, peers, fabric_task)
-        return self._start_endpoints(stack, state, configuration_task, fabric, peers)
+        status = self._start_endpoints(stack, state, configuration_task, fabric, peers)
+        self._publish_figures(state, status, peers, fabric_task)
+        return status
 
     def _make_state(self, entry: EntryInstance) -> EntryState:
         rng = random.SystemRandom()
@@ -136,8 +140,10 @@
         state: EntryState,
         entry: EntryInstance,
         peers: PeerTask,
-        store: HttpStore,
+        stack: ExitStack,
     ) -> EntryConfigurationTask:
+        store = HttpStore(self._settings.store)
+        stack.callback(store.close)
         publisher = Publisher(
             PublisherSettings(self._settings.instance),
             store,
@@ -156,6 +162,7 @@
     def _publish_figures(
         self,
         state: EntryState,
+        status: EntryStatusSource,
         peers: PeerTask,
         fabric_task: FabricTask,
     ) -> None:
@@ -163,6 +170,8 @@
             TaskFigures(
                 lambda: {**peers.counts, **fabric_task.counts},
                 lambda: {
+                    'ready': int(status.is_ready()),
+                    'zone_in_service': int(state.router.is_zone_in_service),
                     'configuration_version': state.router.configuration.version,
                     'configuration_age_seconds': state.configuration.age(
                         self._clock.now(),
--- a/packages/daemon/src/persimmonreach/daemon/_figures.py
+++ b/packages/daemon/src/persimmonreach/daemon/_figures.py
@@ -1,5 +1,6 @@
 """Figures that the tasks of a process publish."""
 
+from collections import Counter
 from collections.abc import Callable, Mapping
 
 from persimmonreach.observability import CounterSource
@@ -32,3 +33,11 @@
     def gauges(self) -> Mapping[str, float]:
         """Return present values, by name."""
         return self._read_gauges()
+
+
+def add_counts(*sources: Mapping[str, int]) -> Counter[str]:
+    """Return the sums by name; two tasks may count a reason under one name."""
+    total: Counter[str] = Counter()
+    for source in sources:
+        total.update(source)
+    return total
--- a/packages/daemon/tests/test_agent_router.py
+++ b/packages/daemon/tests/test_agent_router.py
@@ -192,6 +192,8 @@
     assert toward[Deliver] == toward[Reply] == {key_of(1), key_of(2)}
     assert agent.router.flow_count == 0
     packet = build_inbound(key_of(9), Segment(SYN, 1))
+    # The operator's alert on packets that still reach the zone.
+    assert 'packets_zone_out' in names(agent.receive(ForwardedPacket(7, 0, packet)))
     place = PlaceFlow(7, key_of(9), packet, 'agent-2', 1, 1, 1)
     refused = only(sent(agent.receive(place), PlaceAnswer))
     assert refused.verdict is Verdict.DRAINING
--- a/packages/daemon/tests/test_processes.py
+++ b/packages/daemon/tests/test_processes.py
@@ -5,11 +5,13 @@
 from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
+from urllib.request import urlopen
 
 import gevent
 import pytest
 
 from persimmonreach.core import MonotonicClock
+from persimmonreach.observability import AGENT_PROMISES, ENTRY_PROMISES
 from persimmonreach.standins._caller_journal import CallOutcome
 from persimmonreach.standins._caller_task import (
     CallerGroup,
@@ -121,6 +123,20 @@
         assert processes.ready(child)
 
 
+def test_every_promised_figure_is_published_from_the_start(processes: Processes) -> None:
+    for child, promises in (
+        (processes.entry, ENTRY_PROMISES),
+        (processes.agent, AGENT_PROMISES),
+    ):
+        address = 'http://{0}:{1}/metrics'.format(*child.endpoint('http'))
+        with urlopen(address, timeout=WAIT_S) as response:
+            lines = response.read().decode().splitlines()
+        published = {line.split(' ')[0].split('{')[0] for line in lines}
+        for promise in promises:
+            for name in promise.counters + promise.gauges:
+                assert f'persimmonreach_{name}' in published, promise
+
+
 def test_planned_stops_interrupt_no_request_and_withdraw_first(
     processes: Processes,
 ) -> None:
--- a/packages/observability/src/persimmonreach/observability/__init__.py
+++ b/packages/observability/src/persimmonreach/observability/__init__.py
@@ -2,5 +2,20 @@
 
 from persimmonreach.observability._counters import Counters, CounterSource
 from persimmonreach.observability._logs import configure_logs, log_state_change
+from persimmonreach.observability._promises import (
+    AGENT_PROMISES,
+    ENTRY_PROMISES,
+    Promise,
+    promised_counters,
+)
 
-__all__ = ('CounterSource', 'Counters', 'configure_logs', 'log_state_change')
+__all__ = (
+    'AGENT_PROMISES',
+    'ENTRY_PROMISES',
+    'CounterSource',
+    'Counters',
+    'Promise',
+    'configure_logs',
+    'log_state_change',
+    'promised_counters',
+)
--- a/packages/observability/src/persimmonreach/observability/_counters.py
+++ b/packages/observability/src/persimmonreach/observability/_counters.py
@@ -6,7 +6,7 @@
 
 from abc import ABC, abstractmethod
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 from aioprometheus import Counter as CounterMetric
@@ -30,10 +30,17 @@
 
 
 class Counters:
-    """Counters of one process, and the sources of further figures."""
+    """Counters of one process, and the sources of further figures.
 
-    def __init__(self) -> None:
-        self._counts: Counter[str] = Counter()
+    Parameters
+    ----------
+    promised
+        Names that are published from the start, with 0.
+
+    """
+
+    def __init__(self, promised: Iterable[str] = ()) -> None:
+        self._counts: Counter[str] = Counter(dict.fromkeys(promised, 0))
         self._sources: list[CounterSource] = []
 
     def add(self, name: str, amount: int = 1) -> None:
@@ -46,9 +53,8 @@
 
     def snapshot(self) -> dict[str, float]:
         """Return all figures by name."""
-        figures: dict[str, float] = dict(self._counts)
+        figures: dict[str, float] = dict(self._all_counts())
         for source in self._sources:
-            figures.update(source.counters())
             figures.update(source.gauges())
         return figures
 
--- /dev/null
+++ b/packages/observability/tests/test_metrics.py
@@ -0,0 +1,68 @@
+"""Guards against alerts on figures that are lost, doubled or never counted."""
+
+import re
+from collections.abc import Mapping
+from itertools import chain
+from pathlib import Path
+
+import pytest
+
+from persimmonreach.observability import (
+    AGENT_PROMISES,
+    ENTRY_PROMISES,
+    Counters,
+    CounterSource,
+    promised_counters,
+)
+
+PACKAGES = Path(__file__).parents[2]
+REQUIREMENTS = {f'R{number}' for number in range(1, 17)}
+# Endings of the counters whose names are put together from a value.
+JOINED = {
+    'flows_ended_': ('silent', 'zone_out', 'conflict', 'drain_deadline'),
+    'placements_': ('draining',),
+    'requests_': ('answered', 'not_run', 'unknown'),
+}
+
+
+class Source(CounterSource):
+    """Publishes a count and the given present values."""
+
+    def __init__(self, **present: float) -> None:
+        self._present = present
+
+    def counters(self) -> Mapping[str, int]:
+        return {'packets_malformed': 2}
+
+    def gauges(self) -> Mapping[str, float]:
+        return self._present
+
+
+def test_counts_of_one_name_from_two_places_add_up() -> None:
+    counters = Counters(('packets_malformed', 'probes_sent'))
+    counters.register(Source(flows=3))
+    counters.register(Source())
+    counters.add('packets_malformed')
+    assert counters.snapshot() == {'packets_malformed': 5, 'probes_sent': 0, 'flows': 3}
+    lines = counters.render('')[0].decode().splitlines()
+    assert 'persimmonreach_packets_malformed 5' in lines
+    assert 'persimmonreach_probes_sent 0' in lines
+
+
+def test_each_requirement_has_a_figure() -> None:
+    promises = (*AGENT_PROMISES, *ENTRY_PROMISES)
+    assert {promise.requirement for promise in promises} == REQUIREMENTS
+    assert all(promise.counters or promise.gauges for promise in promises)
+
+
+@pytest.mark.parametrize('promises', [AGENT_PROMISES, ENTRY_PROMISES])
+def test_each_promised_counter_is_counted_somewhere(promises: tuple) -> None:
+    sources = (
+        path.read_text()
+        for path in PACKAGES.glob('*/src/**/*.py')
+        if path.name != '_promises.py'
+    )
+    literals = set(chain(*(re.findall("'([a-z_]+)'", source) for source in sources)))
+    joined = {head + tail for head, tails in JOINED.items() for tail in tails}
+    for name in promised_counters(promises):
+        assert name in literals | joined
--- a/packages/routing/src/persimmonreach/routing/_agent.py
+++ b/packages/routing/src/persimmonreach/routing/_agent.py
@@ -64,6 +64,7 @@
             parts.own_key,
         )
         self._routes = dict(wire_routes)
+        self._is_zone_in_service = True
         self._handlers = MappingProxyType(
             {
                 Received: self._on_received,
@@ -73,7 +74,7 @@
                 BackendServerLost: self._on_backend_lost,
                 DrainRequested: self._on_drain,
                 ConfigurationChanged: self._on_configuration,
-                ViewChanged: self._on_view,
+                ViewChanged: self._broadcast,
                 ViewConfirmed: self._on_confirmed,
                 LeaseRenewed: self._on_lease,
                 LeaseLapsed: self._on_lease,
@@ -99,9 +100,18 @@
         return len(self._parts.ownership.owned)
 
     @property
-    def request_limit(self) -> float:
-        """Requests that may run at the backend server at present."""
-        return self._parts.limit.limit
+    def gauges(self) -> dict[str, float]:
+        """Present values to publish, by name."""
+        limit = self._parts.limit
+        return {
+            'zone_in_service': int(self._is_zone_in_service),
+            'draining': int(self.is_draining),
+            'flows': self.flow_count,
+            'flow_limit': limit.flow_limit(self._parts.state.service.connections),
+            'requests_running': limit.in_use,
+            'request_limit': limit.limit,
+            'buckets_owned': self.owned_buckets,
+        }
 
     @property
     def flow_count(self) -> int:
@@ -149,7 +159,10 @@
         if self._parts.flows.holds(header.key):
             return self._path.from_caller(header, message.packet, now)
         arrived = PacketArrived(header, message.packet, message.hops)
-        return self._parts.ownership.handle(arrived, now)
+        owned = self._parts.ownership.handle(arrived, now)
+        if self._is_zone_in_service:
+            return owned
+        return (Count('packets_zone_out'), *owned)
 
     def _on_backend_packet(
         self,
@@ -208,7 +221,9 @@
     ) -> tuple[Action, ...]:
         self._apply_service(event.configuration)
         actions = self._broadcast(event, now)
-        if self._parts.zone in event.configuration.zones_out:
+        zones_out = event.configuration.zones_out
+        self._is_zone_in_service = self._parts.zone not in zones_out
+        if not self._is_zone_in_service:
             ended = self._parts.flows.handle(EndAllFlows(EndReason.ZONE_OUT), now)
             return actions + ended
         return actions
@@ -220,9 +235,6 @@
                 limits = LimitSettings(service.slots, service.slow_start_floor)
                 self._parts.limit.configure(limits)
 
-    def _on_view(self, event: ViewChanged, now: float) -> tuple[Action, ...]:
-        return self._broadcast(event, now)
-
     def _on_confirmed(self, event: ViewConfirmed, now: float) -> tuple[Action, ...]:
         return self._parts.ownership.handle(event, now)
 
