--- a/packages/daemon/src/persimmonreach/daemon/_agent_process.py
+++ b/packages/daemon/src/persimmonreach/daemon/_agent_process.py
@@ -154,7 +154,7 @@
         monitor = BackendMonitorTask(flows.backend, flows, self._dispatcher.accept)
         for task in (flows, membership, monitor):
             stack.enter_context(task)
-        flows.post(ConfigurationChanged(configuration))
+        self._dispatcher.accept(ConfigurationChanged(configuration))
         return flows
 
     def _make_flow_task(self, service: ServiceConfig, peers: PeerTask) -> FlowTask:
@@ -205,6 +205,7 @@
         configuration_task: AgentConfigurationTask,
     ) -> None:
         self._dispatcher.connect(dict.fromkeys(_FLOW_EVENTS, (flows,)))
+        self._dispatcher.connect({ConfigurationChanged: (flows, membership)})
         self._dispatcher.connect(
             dict.fromkeys((StateAnnounced, FlowsCounted), (membership,)),
         )
@@ -239,11 +240,14 @@
         self._logger.info('draining', seconds=self._settings.shutdown_s)
         flows.post(DrainRequested())
         router = flows.router
-        with gevent.Timeout(self._settings.shutdown_s, exception=False):
+        # Half of the time for each: an agent without peers keeps its buckets.
+        longest = self._settings.shutdown_s / 2
+        with gevent.Timeout(longest, exception=False):
             while router.owned_buckets:
                 gevent.sleep(_DRAIN_POLL_S)
-            # Callers wait from here until the successor runs, so this is last.
-            flows.post(StopRequested())
+        # Callers wait from here until the successor runs, so this is last.
+        flows.post(StopRequested())
+        with gevent.Timeout(longest, exception=False):
             while not router.is_sealed:
                 gevent.sleep(_DRAIN_POLL_S)
         self._logger.info(
--- a/packages/membership/src/persimmonreach/membership/_agent.py
+++ b/packages/membership/src/persimmonreach/membership/_agent.py
@@ -5,7 +5,11 @@
 from types import MappingProxyType
 from typing import Any
 
-from persimmonreach.configuration import EntriesChanged, VersionOffered
+from persimmonreach.configuration import (
+    ConfigurationChanged,
+    EntriesChanged,
+    VersionOffered,
+)
 from persimmonreach.core import (
     Action,
     Endpoint,
@@ -119,6 +123,9 @@
         if isinstance(event, FlowsCounted):
             self._progress.flows = event
             return actions
+        if isinstance(event, ConfigurationChanged):
+            self._progress.config_version = event.configuration.version
+            return actions
         sender = event.sender if isinstance(event, Received) else None
         content = event.message if isinstance(event, Received) else event
         react: Any = self._handlers.get(type(content))
@@ -205,7 +212,6 @@
         actions: list[Action] = []
         actions.extend(self._lists.ask_for(ack.entries_version, sender))
         if ack.config_version > self._progress.config_version:
-            self._progress.config_version = ack.config_version
             actions.append(VersionOffered(ack.config_version, sender))
         if ack.incarnation > self.member.incarnation:
             return (*actions, *self._meet_newer(ack.incarnation, now))
--- a/packages/ownership/src/persimmonreach/ownership/_directory.py
+++ b/packages/ownership/src/persimmonreach/ownership/_directory.py
@@ -31,6 +31,7 @@
         self._pending: dict[FlowKey, float] = {}
         self._recent: dict[FlowKey, _Recent] = {}
         self._unconfirmed: set[FlowKey] = set()
+        self._reset_until: dict[FlowKey, float] = {}
 
     def find(self, bucket: BucketId, key: FlowKey) -> AgentId | None:
         """Return the recorded holder of the flow."""
@@ -67,6 +68,15 @@
             self.remove(key)
         return keys
 
+    def note_reset(self, key: FlowKey, until: float) -> None:
+        """Remember that the flow was ended, since a single reset can be lost."""
+        self._reset_until.pop(key, None)
+        self._reset_until[key] = until
+
+    def was_reset(self, key: FlowKey, now: float) -> bool:
+        """Return whether the flow was ended a short time ago."""
+        return self._reset_until.get(key, now) > now
+
     def start_placement(self, key: FlowKey, sequence: int, now: float) -> None:
         """Note that the holder of a new flow is being chosen."""
         self._pending[key] = now
@@ -155,3 +165,8 @@
         over = [key for key, known in self._recent.items() if known.until <= now]
         for key in over:
             self._recent.pop(key)
+        while self._reset_until:
+            key, until = next(iter(self._reset_until.items()))
+            if until > now:
+                return
+            self._reset_until.pop(key)
--- a/packages/ownership/src/persimmonreach/ownership/_machine.py
+++ b/packages/ownership/src/persimmonreach/ownership/_machine.py
@@ -168,6 +168,7 @@
             *self._claim(now),
             *parts.lookups.tick(now),
             *parts.records.tick(now),
+            *parts.records.leave_zones(now),
             *([Count('first_packets_dropped', dropped)] if dropped else []),
         ]
 
@@ -224,7 +225,7 @@
         return self._members_changed(now)
 
     def _members_changed(self, now: float) -> list[Any]:
-        actions = self._parts.records.leave_zones()
+        actions = self._parts.records.leave_zones(now)
         if self._parts.peers.own_zone_is_out:
             actions += [
                 EndLocalFlow(key, 'zone out of service')
--- a/packages/ownership/src/persimmonreach/ownership/_packets.py
+++ b/packages/ownership/src/persimmonreach/ownership/_packets.py
@@ -9,6 +9,7 @@
     Admit,
     DeliverLocal,
     PacketArrived,
+    ResetCaller,
 )
 from persimmonreach.ownership._forwarding import forward
 from persimmonreach.ownership._parts import Parts
@@ -59,6 +60,8 @@
     ) -> list[Any]:
         parts = self._parts
         key = event.header.key
+        if not event.header.is_first and parts.directory.was_reset(key, now):
+            return [ResetCaller(event.header), Count('packets_of_flows_reset')]
         if parts.directory.is_pending(key):
             return [Count('packets_of_pending_placement')]
         if parts.tokens.admits(bucket, now):
--- a/packages/ownership/src/persimmonreach/ownership/_peers.py
+++ b/packages/ownership/src/persimmonreach/ownership/_peers.py
@@ -85,6 +85,11 @@
         """Return whether the admission lease is valid."""
         return now < self.lease_until or not self.settings.fencing
 
+    @property
+    def has_zones_out(self) -> bool:
+        """Whether an availability zone is out of service."""
+        return bool(self._zones_out)
+
     def is_out(self, row: Member) -> bool:
         """Return whether the member's zone is out of service."""
         return row.zone in self._zones_out
--- a/packages/ownership/src/persimmonreach/ownership/_records.py
+++ b/packages/ownership/src/persimmonreach/ownership/_records.py
@@ -108,10 +108,15 @@
             return []
         return [EndLocalFlow(message.key, 'conflict')]
 
-    def leave_zones(self) -> list[Any]:
+    def leave_zones(self, now: float) -> list[Any]:
         """Remove flows whose holder is in a zone that is out of service."""
-        holders = self._directory.remove_where(self._peers.is_agent_out)
-        return [ResetFlow(key) for key in holders]
+        if not self._peers.has_zones_out:
+            return []
+        lost = self._directory.remove_where(self._peers.is_agent_out)
+        until = now + self._peers.settings.reset_memory
+        for key in lost:
+            self._directory.note_reset(key, until)
+        return [ResetFlow(key) for key in lost]
 
     def tick(self, now: float) -> list[Any]:
         """Send ended flows, and announce flows that are not settled."""
--- a/packages/ownership/src/persimmonreach/ownership/_settings.py
+++ b/packages/ownership/src/persimmonreach/ownership/_settings.py
@@ -45,6 +45,9 @@
         because a restarted agent may still adopt the flow, and a member that seems
         dead may only be out of contact. With a fence of 8 s the callers of a backend
         server that did die are reset within 45 s, as those of silent flows.
+    reset_memory
+        Time for which packets of a flow that ended with its availability zone
+        are answered with a reset; longer than the idle time of a quiet caller.
     lookup_tries
         Transmissions of one lookup.
     lookups_per_second
@@ -76,6 +79,7 @@
     pause_limit: float = 1.0
     pause_drain: float = 0.5
     adoption_grace: float = 30.0
+    reset_memory: float = 60.0
     lookup_tries: int = 3
     lookups_per_second: int = 200
     queue_per_bucket: int = 64
