--- a/packages/routing/src/persimmonreach/routing/_agent.py
+++ b/packages/routing/src/persimmonreach/routing/_agent.py
@@ -229,7 +229,9 @@
         return self._parts.placement.handle(event, now)
 
     def _on_tick(self, event: Tick, now: float) -> tuple[Action, ...]:
-        actions = self._broadcast(event, now) + self._parts.flows.handle(event, now)
+        actions = self._broadcast(event, now)
+        if self._parts.state.is_probing_due(now):
+            actions += self._parts.flows.handle(event, now)
         if self._parts.state.is_past_deadline(now):
             ended = EndAllFlows(EndReason.DRAIN_DEADLINE)
             actions += self._parts.flows.handle(ended, now)
