--- a/packages/proof/src/persimmonreach/proof/bench_budget.py
+++ b/packages/proof/src/persimmonreach/proof/bench_budget.py
@@ -91,6 +91,7 @@
             *_use(agent),
             *_changes(rows, entry),
             *_rolling(known),
+            *_unequal(known, entry),
         )
         return Report(figures)
 
@@ -137,6 +138,23 @@
     yield Figure(name, rolling / free / _HOUR_S, 'hours')
 
 
+def _unequal(known: dict[str, float], entry: _Use) -> Iterable[Figure]:
+    """Return the bytes at the mean and at the most loaded entry instance."""
+    own = sum(known[name] for name in (_ENTRY_SENT[0], _ENTRY_RECEIVED[0]))
+    rest = entry.sent + entry.received - own
+    each = own / known['agents that the driven entry instance serves']
+    for who in ('mean of', 'most'):
+        served = known[f'{who} agents that an entry instance serves']
+        both = each * served + rest
+        yield Figure(f'bytes with the {who} agents, sent and received', both, _TRAFFIC)
+    most = known['most agents that an entry instance serves']
+    share = most / known['agents that the driven entry instance serves']
+    sent = known[_ENTRY_SENT[0]] * share + known[_ENTRY_SENT[1]]
+    yield Figure('bytes with the most agents, sent alone', sent, _TRAFFIC)
+    served = (TRAFFIC_BYTES - rest) / each
+    yield Figure('agents that an entry instance may serve at 4 KB/s', served, 'agents')
+
+
 def _rolling(known: dict[str, float]) -> Iterable[Figure]:
     once = sum(known[name] for name in _LIST_TIMES) / 1000
     total = once * ENTRIES * _LIST_CHANGES_PER_RESTART
--- a/packages/proof/src/persimmonreach/proof/bench_membership.py
+++ b/packages/proof/src/persimmonreach/proof/bench_membership.py
@@ -3,11 +3,12 @@
 import functools
 import random
 import time
+from collections import Counter
 from collections.abc import Iterable
 from typing import Any, Final, NamedTuple
 
 from persimmonreach.configuration import EntriesChanged, EntryInstance
-from persimmonreach.core import Action, Incarnation, Received, Tick
+from persimmonreach.core import Action, Incarnation, Received, ServiceId, Tick
 from persimmonreach.membership import EntryMembership, Member, choose_registrars
 from persimmonreach.membership._chunks import row_messages
 from persimmonreach.membership._table import MemberRow
@@ -46,6 +47,8 @@
     ('time to apply one change of the entry list', 'ms', 'list_change_ms'),
     ('time to end the handover of an entry list', 'ms', 'handover_ms'),
 )
+_AGENTS: Final = 'agents'
+_BOUNDS: Final = (30, 40)
 _VERSIONS: Final = (2, 3, 4)
 _WARM_UP_S: Final = 12
 _SECONDS: Final = 60
@@ -180,11 +183,30 @@
         )
         slopes = _AXIS.slopes(names, samples)
         ranked = _RANKING_AXIS.slopes(_RANKING_NAMES, samples)
-        return Report((_agents(samples[-1]), *_changes()), (*slopes, *ranked))
-
-
-def _agents(sample: _Sample) -> Figure:
-    return Figure('agents that the driven entry instance serves', sample.agents, 'agents')
+        return Report((*_agents(samples[-1]), *_changes()), (*slopes, *ranked))
+
+
+def _agents(sample: _Sample) -> Iterable[Figure]:
+    yield Figure('agents that the driven entry instance serves', sample.agents, _AGENTS)
+    entries = make_entries(ENTRIES)
+    served: Counter[str] = Counter()
+    for member in make_members(AGENTS, SERVICES):
+        served.update(entry.entry for entry in _choose_cached(member.service, entries))
+    mean = served.total() / ENTRIES
+    yield Figure('mean of agents that an entry instance serves', mean, _AGENTS)
+    largest = max(served.values())
+    yield Figure('most agents that an entry instance serves', largest, _AGENTS)
+    for bound in _BOUNDS:
+        above = sum(count > bound for count in served.values()) / ENTRIES * _PERCENT
+        yield Figure(f'entry instances that serve more than {bound} agents', above, '%')
+
+
+@functools.cache
+def _choose_cached(
+    service: ServiceId,
+    entries: tuple[EntryInstance, ...],
+) -> tuple[EntryInstance, ...]:
+    return choose_registrars(service, entries)
 
 
 def _measure(agents: int, services: int, entries: int) -> _Sample:
