--- a/packages/flows/src/persimmonreach/flows/_settings.py
+++ b/packages/flows/src/persimmonreach/flows/_settings.py
@@ -13,14 +13,14 @@
     interval_s
         Seconds between two probes.
     probes
-        Unanswered probes after which the flow is ended. 30 s and 3 probes 5 s
-        apart end a dead flow within 45 s.
+        Unanswered probes after which the flow is ended. 29 s and 3 probes 5 s
+        apart, looked for twice a second, end a dead flow within 45 s.
     enabled
         False turns probing off; for measurements only.
 
     """
 
-    idle_s: float = 30
+    idle_s: float = 29
     interval_s: float = 5
     probes: int = 3
     enabled: bool = True
--- a/packages/flows/src/persimmonreach/flows/_table.py
+++ b/packages/flows/src/persimmonreach/flows/_table.py
@@ -1,11 +1,14 @@
 """Table of the flows of one backend server."""
 
+from typing import Final
+
 from persimmonreach.core import (
     Action,
     BucketId,
     Count,
     Event,
     FlowKey,
+    Reply,
     StateMachine,
     Tick,
     bucket_of,
@@ -26,6 +29,10 @@
 from persimmonreach.packets import RST
 
 
+# A reset toward a caller can be lost on its way.
+_REPEATED_AFTER_S: Final = (0.5, 2)
+
+
 class FlowTable(StateMachine, LocalFlows):
     """Flows of the local backend server, and the probing of silent ones.
 
@@ -39,6 +46,7 @@
     def __init__(self, settings: ProbeSettings) -> None:
         self._settings = settings
         self._records: dict[FlowKey, FlowRecord] = {}
+        self._repeats: list[tuple[float, Reply]] = []
         self._by_bucket: dict[BucketId, set[FlowKey]] = {}
         self._handlers = {
             CallerPacket: self._on_caller_packet,
@@ -128,7 +136,12 @@
         record = self._records.get(event.key)
         if record is None:
             return ()
-        return record.resets() + self._remove(record, event.reason)
+        resets = record.resets()
+        if event.reason is EndReason.ZONE_OUT:
+            # No later packet of the caller comes here to be answered.
+            repeats = ((now + wait, resets[0]) for wait in _REPEATED_AFTER_S)
+            self._repeats.extend(repeats)
+        return resets + self._remove(record, event.reason)
 
     def _on_end_all(self, event: EndAllFlows, now: float) -> tuple[Action, ...]:
         actions: list[Action] = []
@@ -142,9 +155,11 @@
         return (FlowClosed(record.key, reason), Count(f'flows_ended_{reason}'))
 
     def _on_tick(self, event: Tick, now: float) -> tuple[Action, ...]:
+        due = tuple(reset for at, reset in self._repeats if at <= now)
+        self._repeats = [row for row in self._repeats if row[0] > now]
         if not self._settings.enabled:
-            return ()
-        actions: list[Action] = []
+            return due
+        actions: list[Action] = [*due]
         for record in tuple(self._records.values()):
             actions.extend(self._probe(record, now))
         return tuple(actions)
--- a/packages/flows/tests/test_flow_table.py
+++ b/packages/flows/tests/test_flow_table.py
@@ -83,6 +83,16 @@
     assert not table.holds(KEY)
 
 
+def test_a_caller_whose_reset_was_lost_gets_it_again_when_a_zone_is_out() -> None:
+    table = FlowTable(ProbeSettings())
+    table.handle(OpenFlow(KEY), 0)
+    reset = table.handle(EndAllFlows(EndReason.ZONE_OUT), 1)[0]
+    repeated = [
+        action for tenth in range(100) for action in table.handle(Tick(), 1 + tenth / 10)
+    ]
+    assert repeated == [reset, reset]
+
+
 def test_a_half_closed_flow_stays_until_both_ends_closed() -> None:
     table = FlowTable(ProbeSettings())
     table.handle(OpenFlow(KEY), 0)
--- a/packages/ownership/src/persimmonreach/ownership/_directory.py
+++ b/packages/ownership/src/persimmonreach/ownership/_directory.py
@@ -166,7 +166,7 @@
         for key in over:
             self._recent.pop(key)
         while self._reset_until:
-            key, until = next(iter(self._reset_until.items()))
+            oldest, until = next(iter(self._reset_until.items()))
             if until > now:
                 return
-            self._reset_until.pop(key)
+            self._reset_until.pop(oldest)
--- a/packages/ownership/src/persimmonreach/ownership/_records.py
+++ b/packages/ownership/src/persimmonreach/ownership/_records.py
@@ -114,8 +114,8 @@
             return []
         lost = self._directory.remove_where(self._peers.is_agent_out)
         until = now + self._peers.settings.reset_memory
-        for key in lost:
-            self._directory.note_reset(key, until)
+        for ended in lost:
+            self._directory.note_reset(ended, until)
         return [ResetFlow(key) for key in lost]
 
     def tick(self, now: float) -> list[Any]:
--- a/packages/ownership/tests/test_ownership_changes.py
+++ b/packages/ownership/tests/test_ownership_changes.py
@@ -154,6 +154,24 @@
     assert len(delivered(net, 60)) == (60 - in_zone) * 3
 
 
+def test_caller_whose_reset_was_lost_is_reset_again_after_a_zone_is_out(net):
+    open_flows(net, 60)
+    agent = net.nodes['agent-0']
+    # The agent repeats the resets of flows in its own buckets itself.
+    ended = {key for key in agent.flows if bucket_of(key) not in agent.machine.owned}
+    assert ended
+    # A restart a moment ago keeps lookups from ending in a reset.
+    net.restart('agent-1')
+    net.run(8)
+    net.set_zones_out('zone-0')
+    net.run(5)
+    net.actions.clear()
+    for key in ended:
+        net.packet(net.nodes['agent-1'], key, first=False)
+    net.run(2)
+    assert {action.header.key for action in of_type(net, own.ResetCaller)} == ended
+
+
 def test_restarted_holder_keeps_its_flows(net):
     open_flows(net, 60)
     for name in net.nodes:
--- a/packages/proof/src/persimmonreach/proof/bench_budget.py
+++ b/packages/proof/src/persimmonreach/proof/bench_budget.py
@@ -22,6 +22,16 @@
 _LIST_CHANGES_PER_RESTART: Final = 2
 _SHARE: Final = '% of the budget'
 _TRAFFIC: Final = 'B/s'
+# The idle process has no agents; ticks count twice, so this is an upper bound.
+_ENTRY_PROCESSOR: Final = (
+    'idle processor share of an entry process by agents',
+    'processor share of heartbeats and gossip',
+    'processor share of configuration',
+)
+_LIST_TIMES: Final = (
+    'time to apply one change of the entry list',
+    'time to end the handover of an entry list',
+)
 _ENTRY_SENT: Final = (
     'heartbeats and gossip sent by an entry instance',
     'configuration bytes sent by an entry instance',
@@ -64,7 +74,7 @@
         rows = known['bytes of one changed row to one peer']
         entry = _Use(
             'entry instance',
-            known['idle processor share of an entry process by agents'],
+            sum(known[name] for name in _ENTRY_PROCESSOR),
             known['memory of an entry process by agents'],
             sum(known[name] for name in _ENTRY_SENT),
             sum(known[name] for name in _ENTRY_RECEIVED),
@@ -81,6 +91,7 @@
             *_use(agent),
             *_changes(rows, entry),
             *_rolling(known),
+            *_unequal(known, entry),
         )
         return Report(figures)
 
@@ -127,9 +138,31 @@
     yield Figure(name, rolling / free / _HOUR_S, 'hours')
 
 
+def _unequal(known: dict[str, float], entry: _Use) -> Iterable[Figure]:
+    """Return the bytes at the mean and at the most loaded entry instance."""
+    own = sum(known[name] for name in (_ENTRY_SENT[0], _ENTRY_RECEIVED[0]))
+    rest = entry.sent + entry.received - own
+    each = own / known['agents that the driven entry instance serves']
+    for who in ('mean of', 'most'):
+        served = known[f'{who} agents that an entry instance serves']
+        both = each * served + rest
+        yield Figure(f'bytes with the {who} agents, sent and received', both, _TRAFFIC)
+    most = known['most agents that an entry instance serves']
+    share = most / known['agents that the driven entry instance serves']
+    sent = known[_ENTRY_SENT[0]] * share + known[_ENTRY_SENT[1]]
+    yield Figure('bytes with the most agents, sent alone', sent, _TRAFFIC)
+    served = (TRAFFIC_BYTES - rest) / each
+    yield Figure('agents that an entry instance may serve at 4 KB/s', served, 'agents')
+
+
 def _rolling(known: dict[str, float]) -> Iterable[Figure]:
-    once = known['time to apply one change of the entry list'] / 1000
+    once = sum(known[name] for name in _LIST_TIMES) / 1000
     total = once * ENTRIES * _LIST_CHANGES_PER_RESTART
+    share = ENTRIES / (ENTRIES + AGENTS)
+    restarts = (_FAILURES_PER_DAY + _RESTARTS_PER_DAY) * share
+    daily = restarts * _LIST_CHANGES_PER_RESTART * once / _SECONDS_PER_DAY * 100
+    yield Figure('entry instances restarted in a day', restarts, 'instances')
+    yield Figure('processor of entry list changes, mean of a day', daily, '% of a core')
     yield Figure('processor time at each entry instance, all restarted', total, 's')
     name = 'shortest restart of all entry instances at 1% of a core'
     yield Figure(name, total * 100 / CORE_PERCENT / _HOUR_S, 'hours')
