Follow the shorter idle time in the settings test

Cause: the default of idle_s is 29 s, so that dead flows end within 45 s. Change: the test of defaults names it.

--- a/packages/daemon/tests/test_settings.py
+++ b/packages/daemon/tests/test_settings.py
@@ -67,7 +67,7 @@
 def test_valid_settings_keep_their_values_and_defaults() -> None:
     settings = convert_settings(VALID, 'x.json', AgentSettings)
     assert settings.seeds == (Endpoint('127.0.0.1', 4),)
-    assert settings.probing.idle_s == 30
+    assert settings.probing.idle_s == 29
     assert shared_keys(settings) == [SharedKey(1, bytes(16))]
 
 
--- a/packages/flows/src/persimmonreach/flows/_table.py
+++ b/packages/flows/src/persimmonreach/flows/_table.py
@@ -28,7 +28,6 @@
 from persimmonreach.flows._settings import ProbeSettings
 from persimmonreach.packets import RST
 
-
 # A reset toward a caller can be lost on its way.
 _REPEATED_AFTER_S: Final = (0.5, 2)
 
@@ -159,7 +158,7 @@
         self._repeats = [row for row in self._repeats if row[0] > now]
         if not self._settings.enabled:
             return due
-        actions: list[Action] = [*due]
+        actions = list(due)
         for record in tuple(self._records.values()):
             actions.extend(self._probe(record, now))
         return tuple(actions)
