--- a/packages/proof/src/persimmonreach/proof/bench_budget.py
+++ b/packages/proof/src/persimmonreach/proof/bench_budget.py
@@ -99,7 +99,7 @@
 def _read(path: Path) -> dict[str, float]:
     known: dict[str, float] = {}
     reports: dict[str, Any] = json.loads(path.read_text())
-    for report in reports.known():
+    for report in reports.values():
         for figure in report['figures']:
             known[figure['name']] = figure['amount']
         for slope in report['slopes']:
--- a/packages/proof/src/persimmonreach/proof/bench_membership.py
+++ b/packages/proof/src/persimmonreach/proof/bench_membership.py
@@ -211,7 +211,6 @@
 
 def _measure(agents: int, services: int, entries: int) -> _Sample:
     registrar = Registrar(agents, services, entries)
-    served = len(registrar.own_agents)
     _, memory = measure_memory(registrar.load)
     # The first scan after the fence ranks the registrars of every service.
     registrar.run(_WARM_UP_S)
@@ -220,17 +219,17 @@
     started = time.process_time()
     registrar.run(_SECONDS)
     spent = time.process_time() - started
+    sent, received = registrar.sent, registrar.received
     changes = [_change_list(registrar, version) for version in _VERSIONS]
-    datagrams = registrar.sent.datagrams + registrar.received.datagrams
     return _Sample(
         memory / KILOBYTE,
         spent / _SECONDS * _PERCENT,
-        registrar.sent.octets / _SECONDS,
-        registrar.received.octets / _SECONDS,
-        datagrams / _SECONDS,
+        sent.octets / _SECONDS,
+        received.octets / _SECONDS,
+        (sent.datagrams + received.datagrams) / _SECONDS,
         min(begun for begun, _ in changes) * _MILLISECONDS,
         min(ended for _, ended in changes) * _MILLISECONDS,
-        served,
+        len(registrar.own_agents),
     )
 
 
--- a/packages/proof/src/persimmonreach/proof/bench_packets.py
+++ b/packages/proof/src/persimmonreach/proof/bench_packets.py
@@ -113,7 +113,7 @@
         Figure('processor time of an agent per packet', agent_us, 'us'),
         Figure('the same in the flood, entry instance', flood.entry, 'us'),
         Figure('the same in the flood, agent', flood.agent, 'us'),
-        *_instances(MICROSECONDS / entry_us),
+        *_instances(MICROSECONDS / max(entry_us, flood.entry)),
     )
     return Report(figures, slopes)
 
