Expect a zone override within 5 s also while the store is down

The check of zones out of service waited for the end of any store outage; now it does so only for a change that no entry instance had read before.

--- a/packages/proof/src/persimmonreach/proof/_journal.py
+++ b/packages/proof/src/persimmonreach/proof/_journal.py
@@ -62,6 +62,8 @@
         self.zones_out: dict[Zone, float] = {}
         # Nodes that cannot hear of a change are not expected to know it.
         self.deaf_until = float('-inf')
+        # The same for nodes that can reach none of the others.
+        self.apart_until = float('-inf')
         self.trace: list[str] = []
 
     def note(self, text: str) -> None:
@@ -91,7 +93,7 @@
         """Check that a packet did not reach a zone that is out of service."""
         if zone not in self.zones_out:
             return
-        since = max(self.zones_out[zone], self.deaf_until)
+        since = max(self.zones_out[zone], self.apart_until)
         if self._scheduler.now > since + WITHDRAWN_S:
             self.breaks('zone_out_gets_no_packet', agent)
 
--- a/packages/proof/src/persimmonreach/proof/_platform_faults.py
+++ b/packages/proof/src/persimmonreach/proof/_platform_faults.py
@@ -70,6 +70,7 @@
         world.scheduler.after(_APART_S, _set_network, world, Conditions())
         world.excuses.add_absence(EVERYONE, _APART_S + _REJOINED_S)
         world.journal.deaf_until = world.now + _APART_S
+        world.journal.apart_until = world.now + _APART_S
         return _APART_S
 
 
@@ -81,6 +82,7 @@
         world.set_store_faults(Faults(outage=True))
         world.scheduler.after(_STORE_S, world.set_store_faults, Faults())
         world.journal.deaf_until = world.now + _STORE_S
+        _delay_unread_zones(world, world.now + _STORE_S)
         return _STORE_S
 
 
@@ -159,6 +161,15 @@
     return free[0] if free else ZONES[1]
 
 
+def _delay_unread_zones(world: World, until: float) -> None:
+    """Expect a zone change that no entry instance has read after the outage."""
+    zones_out = world.journal.zones_out
+    read = set[str]()
+    for node in world.entries.values():
+        read.update(node.configuration.zones_out)
+    zones_out.update(dict.fromkeys(zones_out.keys() - read, until))
+
+
 def _set_network(world: World, conditions: Conditions) -> None:
     world.journal.note(f'{conditions}')
     world.network.conditions = conditions
