--- a/packages/configuration/src/persimmonreach/configuration/_agent.py
+++ b/packages/configuration/src/persimmonreach/configuration/_agent.py
@@ -110,6 +110,8 @@
         if push.version < present.version and self._settings.enforce_version_order:
             # The entry instance is behind; another one is asked soon.
             return (Count('configuration_older_versions_refused'),)
+        if push.unchanged and push.version != present.version:
+            return (Count('configuration_answers_for_predecessor'),)
         self._pull_at = now + PULL_S
         if push.version == present.version:
             self._confirmation.improve(push.age_ms, now)
--- a/packages/configuration/src/persimmonreach/configuration/_sync.py
+++ b/packages/configuration/src/persimmonreach/configuration/_sync.py
@@ -143,4 +143,5 @@
             self._confirmation.age_ms(now),
             self._replica.zones,
             None if name is None else self._replica.find(name),
+            unchanged=name is None,
         )
--- a/packages/configuration/src/persimmonreach/configuration/messages.py
+++ b/packages/configuration/src/persimmonreach/configuration/messages.py
@@ -137,8 +137,11 @@
     zones
         Zones with overrides applied.
     service
-        Service of the agent; nothing if it is not declared or if the agent
-        asked with this version.
+        Service of the agent; nothing if it is not declared or left out.
+    unchanged
+        Whether the service is left out because the agent asked with this
+        version. A process that has another version must not take the answer:
+        it was meant for its predecessor.
 
     """
 
@@ -146,6 +149,7 @@
     age_ms: int
     zones: tuple[ZoneState, ...]
     service: ServiceConfig | None
+    unchanged: bool = False
 
 
 MESSAGE_TYPES: Final = MappingProxyType(
--- a/packages/configuration/tests/test_spread.py
+++ b/packages/configuration/tests/test_spread.py
@@ -370,6 +370,19 @@
     assert not agent.handle(VersionOffered(5, behind), 4)
 
 
+def test_agent_does_not_take_an_answer_for_its_predecessor() -> None:
+    agent = AgentConfiguration(AgentSettings('s1', ()), Random(1))
+    entry = Endpoint('127.0.0.1', 1)
+    service = ServiceConfig(ServiceId(4), 's1', Endpoint('10.9.0.1', 1), 2, version=5)
+    late = ServicePush(5, 0, (), None, unchanged=True)
+    # Taken as a whole it would say that the service is not declared.
+    assert not agent.configuration.version
+    agent.handle(Received(entry, late), 1)
+    assert not agent.configuration.version
+    agent.handle(Received(entry, ServicePush(5, 0, (), service)), 2)
+    assert agent.configuration.services == (service,)
+
+
 def test_confirmation_ages_while_the_store_is_silent() -> None:
     net = _Net(1)
     endpoint = net.instances[0].endpoint
--- a/packages/routing/src/persimmonreach/routing/_agent.py
+++ b/packages/routing/src/persimmonreach/routing/_agent.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from types import MappingProxyType
+from typing import Final
 
 from persimmonreach.admission import (
     BackendReported,
@@ -11,7 +12,7 @@
     PlaceFlow,
 )
 from persimmonreach.configuration import Configuration, ConfigurationChanged
-from persimmonreach.core import Action, Count, Event, Received, StateMachine, Tick
+from persimmonreach.core import Action, Count, Event, Pauses, Received, StateMachine, Tick
 from persimmonreach.flows import AdoptFlows, EndAllFlows, EndReason
 from persimmonreach.membership import (
     LeaseLapsed,
@@ -35,6 +36,11 @@
 from persimmonreach.routing._parts import AgentParts, report_flows
 from persimmonreach.routing._translation import ActionTranslator
 
+# Ticks come ten times a second; a longer gap is a pause of the process.
+_PAUSE_LIMIT_S: Final = 2
+# Time in which a process that wakes reads what has waited in its sockets.
+_PAUSE_DRAIN_S: Final = 0.5
+
 
 class AgentRouter(StateMachine):
     """Decides on every packet, message and change that reaches an agent.
@@ -65,6 +71,7 @@
             parts.own_key,
         )
         self._routes = dict(wire_routes)
+        self._pauses = Pauses(_PAUSE_LIMIT_S, _PAUSE_DRAIN_S)
         self._is_zone_in_service = True
         self._handlers = MappingProxyType(
             {
@@ -131,6 +138,7 @@
 
     def handle(self, event: Event, now: float) -> tuple[Action, ...]:
         """Return the actions for the outside that ``event`` causes."""
+        self._pauses.note(now)
         actions = self._handlers[type(event)](event, now)
         return self._translator.translate(actions, now)
 
@@ -163,6 +171,9 @@
         message: ForwardedPacket,
         now: float,
     ) -> tuple[Action, ...]:
+        if self._pauses.may_be_stale(now):
+            # What waited in the socket may be older than a zone change.
+            return (Count('packets_stale'),)
         if message.service != self._parts.state.service.service:
             return (Count('packets_wrong_service'),)
         try:
