--- a/Makefile
+++ b/Makefile
@@ -37,5 +37,8 @@
 matrix: setup
 	$(BIN)/python -m persimmonreach.proof.matrix
 
+matrix-long: setup
+	for seed in 1 2 3 4 5 6; do $(BIN)/python -m persimmonreach.proof.matrix --seed $$seed || exit 1; done
+
 bench: setup
 	$(BIN)/python -m persimmonreach.proof.bench
