--- a/packages/proof/src/persimmonreach/proof/bench_budget.py
+++ b/packages/proof/src/persimmonreach/proof/bench_budget.py
@@ -50,6 +50,15 @@
     received: float
 
 
+class MissingFigureError(LookupError):
+    """A figure that the budget needs was not measured before."""
+
+
+class _Known(dict[str, float]):
+    def __missing__(self, name: str) -> float:
+        raise MissingFigureError(f'no figure {name!r}: run all measurements first')
+
+
 class Budget(Measurement):
     """Use of the control budget; needs the results of a whole run.
 
@@ -69,8 +78,15 @@
         return 'budget'
 
     def run(self) -> Report:
-        """Add up the values at the stated size."""
-        known = _read(self._result)
+        """Add up the values at the stated size.
+
+        Raises
+        ------
+        MissingFigureError
+            If a measurement that it needs has not run before.
+
+        """
+        known = _Known(_read(self._result))
         rows = known['bytes of one changed row to one peer']
         entry = _Use(
             'entry instance',
