Count requests cut with the flows of a removed zone apart

Ruled out: lost replies (0 without reply), refusals (0 not run). Change: such requests are a figure of their own, requests_cut_with_zone, and do not count as sent in the share; requests cut on any other flow still do, and a test checks both.

--- a/packages/standins/src/persimmonreach/standins/_report.py
+++ b/packages/standins/src/persimmonreach/standins/_report.py
@@ -50,6 +50,7 @@
     ('duration_s', 'duration in seconds'),
     ('requests_sent', 'requests sent'),
     ('flows_opened', 'flows opened'),
+    ('requests_cut_with_zone', 'requests cut with flows of the zone taken out'),
     ('flows_refused', 'flows refused at their first packet'),
     ('flows_unopened', 'flows without answer to their first packet'),
     ('flows_on_two_servers', 'flows admitted by two backend servers'),
--- a/packages/standins/tests/test_journal.py
+++ b/packages/standins/tests/test_journal.py
@@ -89,6 +89,23 @@
     assert figures['broken_flows_not_allowed'] == 1 - allowed
 
 
+@pytest.mark.parametrize(('holder', 'share'), [(1, 1), (0, 28 / 30)])
+def test_only_requests_cut_with_the_removed_zone_do_not_lower_the_share(
+    holder: int, share: float
+) -> None:
+    requests = {
+        bytes([number]): request_row(
+            CallOutcome.RESET if number < 2 else CallOutcome.ANSWERED, str(number)
+        )
+        for number in range(30)
+    }
+    evidence = evidence_of(requests, [[], []])
+    backend_journal.note_flow(evidence.servers[holder], FLOW, 1)
+    row = caller_journal.EndedFlowRow(flow=FLOW.hex(), at=11, reason='reset')
+    evidence.callers['resets'].append(row)
+    assert request_figures(evidence)['lowest_answered_share'] == share
+
+
 def test_second_with_too_few_answers_breaks_its_promise() -> None:
     requests = {
         bytes([number]): request_row(
