Share the set-up of both composition roots

Change: DaemonProcess, an abstract base class, holds them; the roles keep their own wiring. Conclusion: no change of behaviour.

--- a/packages/daemon/src/persimmonreach/daemon/_agent_process.py
+++ b/packages/daemon/src/persimmonreach/daemon/_agent_process.py
@@ -17,15 +17,14 @@
 from persimmonreach.configuration import AgentSettings as ConfigurationSettings
 from persimmonreach.configuration.messages import MESSAGE_TYPES as CONFIGURATION_TYPES
 from persimmonreach.configuration.tasks import AgentConfigurationTask
-from persimmonreach.core import AgentId, Endpoint, Incarnation, MonotonicClock, Zone
+from persimmonreach.core import AgentId, Endpoint, Incarnation, Zone
 from persimmonreach.daemon._agent_parts import make_router
 from persimmonreach.daemon._agent_status import AgentStatusSource
-from persimmonreach.daemon._dispatch import Dispatcher
 from persimmonreach.daemon._figures import TaskFigures, add_counts
+from persimmonreach.daemon._process import DaemonProcess
 from persimmonreach.daemon._service_waiter import ServiceWaiter, find_service
-from persimmonreach.daemon._settings import AgentSettings, shared_keys
+from persimmonreach.daemon._settings import AgentSettings
 from persimmonreach.daemon._shutdown import StopSignal
-from persimmonreach.daemon._wire import PACKET_TYPES, make_codec
 from persimmonreach.membership import (
     AgentMembership,
     FlowsCounted,
@@ -42,8 +41,6 @@
 from persimmonreach.membership.tasks import AgentMembershipTask
 from persimmonreach.observability import (
     AGENT_PROMISES,
-    Counters,
-    configure_logs,
     promised_counters,
 )
 from persimmonreach.observability.tasks import HttpEndpoint
@@ -66,7 +63,7 @@
 )
 
 
-class AgentProcess:
+class AgentProcess(DaemonProcess):
     """An agent with all its tasks.
 
     Parameters
@@ -77,25 +74,15 @@
     """
 
     def __init__(self, settings: AgentSettings) -> None:
+        super().__init__(settings, promised_counters(AGENT_PROMISES))
         self._settings = settings
-        self._clock = MonotonicClock()
-        self._counters = Counters(promised_counters(AGENT_PROMISES))
-        self._logger = configure_logs(settings.instance)
-        self._dispatcher = Dispatcher(self._counters, self._logger)
         self._configuration = AgentConfiguration(
             ConfigurationSettings(settings.service, settings.seeds),
             random.SystemRandom(),
         )
 
     def run(self) -> None:
-        """Run until SIGTERM or SIGINT, then shut down gracefully.
-
-        Raises
-        ------
-        OSError
-            If an address of the settings cannot be bound.
-
-        """
+        """Run until SIGTERM or SIGINT, then shut down gracefully."""
         stop = StopSignal(self._logger)
         status = AgentStatusSource(self._settings, self._configuration, self._clock)
         with ExitStack() as stack:
@@ -110,11 +97,7 @@
         self._logger.info('stopped')
 
     def _start_endpoints(self, stack: ExitStack, status: AgentStatusSource) -> PeerTask:
-        peers = PeerTask(
-            UdpSocket(self._bind(self._settings.peer_port)),
-            make_codec(shared_keys(self._settings), self._settings.message_window_s),
-            PACKET_TYPES,
-        )
+        peers = self._make_peers(self._settings)
         stack.enter_context(peers)
         http = HttpEndpoint(self._bind(self._settings.http_port), self._counters, status)
         http.start()
@@ -259,6 +242,3 @@
         if not router.flow_count:
             self._dispatcher.accept(StateAnnounced(MemberState.LEFT))
             gevent.sleep(self._settings.membership.heartbeat_s)
-
-    def _bind(self, port: int) -> Endpoint:
-        return Endpoint(self._settings.host, port)
--- a/packages/daemon/src/persimmonreach/daemon/_entry_process.py
+++ b/packages/daemon/src/persimmonreach/daemon/_entry_process.py
@@ -21,24 +21,21 @@
 from persimmonreach.configuration.messages import MESSAGE_TYPES as CONFIGURATION_TYPES
 from persimmonreach.configuration.tasks import EntryConfigurationTask, StoreAccess
 from persimmonreach.control.adapters import ControlServer
-from persimmonreach.core import Endpoint, EntryId, MonotonicClock, Zone
-from persimmonreach.daemon._dispatch import Dispatcher
+from persimmonreach.core import EntryId, Zone
 from persimmonreach.daemon._entry_status import (
     EntryOperatorService,
     EntryState,
     EntryStatusSource,
 )
 from persimmonreach.daemon._figures import TaskFigures
-from persimmonreach.daemon._settings import EntrySettings, shared_keys
+from persimmonreach.daemon._process import DaemonProcess
+from persimmonreach.daemon._settings import EntrySettings
 from persimmonreach.daemon._shutdown import StopSignal
-from persimmonreach.daemon._wire import PACKET_TYPES, make_codec
 from persimmonreach.membership import EntryMembership, ViewChanged
 from persimmonreach.membership.messages import MESSAGE_TYPES as MEMBERSHIP_TYPES
 from persimmonreach.membership.tasks import EntryMembershipTask
 from persimmonreach.observability import (
     ENTRY_PROMISES,
-    Counters,
-    configure_logs,
     promised_counters,
 )
 from persimmonreach.observability.tasks import HttpEndpoint
@@ -53,7 +50,7 @@
 _MS_PER_S: Final = 1000
 
 
-class EntryProcess:
+class EntryProcess(DaemonProcess):
     """An entry instance with all its tasks.
 
     Parameters
@@ -64,21 +61,11 @@
     """
 
     def __init__(self, settings: EntrySettings) -> None:
+        super().__init__(settings, promised_counters(ENTRY_PROMISES))
         self._settings = settings
-        self._clock = MonotonicClock()
-        self._counters = Counters(promised_counters(ENTRY_PROMISES))
-        self._logger = configure_logs(settings.instance)
-        self._dispatcher = Dispatcher(self._counters, self._logger)
 
     def run(self) -> None:
-        """Run until SIGTERM or SIGINT, then shut down gracefully.
-
-        Raises
-        ------
-        OSError
-            If an address of the settings cannot be bound.
-
-        """
+        """Run until SIGTERM or SIGINT, then shut down gracefully."""
         stop = StopSignal(self._logger)
         with ExitStack() as stack:
             status = self._start(stack)
@@ -89,11 +76,7 @@
         self._logger.info('stopped')
 
     def _start(self, stack: ExitStack) -> EntryStatusSource:
-        peers = PeerTask(
-            UdpSocket(self._bind(self._settings.peer_port)),
-            make_codec(shared_keys(self._settings), self._settings.message_window_s),
-            PACKET_TYPES,
-        )
+        peers = self._make_peers(self._settings)
         entry = EntryInstance(
             EntryId(self._settings.instance),
             Zone(self._settings.zone),
@@ -207,9 +190,6 @@
         )
         return status
 
-    def _bind(self, port: int) -> Endpoint:
-        return Endpoint(self._settings.host, port)
-
 
 def _wall_ms() -> int:
     return int(time.time() * _MS_PER_S)
