--- a/packages/core/src/persimmonreach/core/__init__.py
+++ b/packages/core/src/persimmonreach/core/__init__.py
@@ -1,6 +1,7 @@
 """Value types, state machines, hashing and findings shared by all slices."""
 
 from persimmonreach.core._clock import Clock, ManualClock, MonotonicClock
+from persimmonreach.core._deadlines import Deadlines
 from persimmonreach.core._findings import (
     Finding,
     FindingError,
@@ -21,11 +22,13 @@
     FlowKey,
     Incarnation,
     ServiceId,
+    ServiceName,
     Zone,
 )
 from persimmonreach.core._machine import (
     Action,
     Count,
+    Decision,
     Deliver,
     Event,
     Received,
@@ -44,6 +47,8 @@
     'BucketId',
     'Clock',
     'Count',
+    'Deadlines',
+    'Decision',
     'Deliver',
     'Endpoint',
     'EntryId',
@@ -60,6 +65,7 @@
     'Reply',
     'Send',
     'ServiceId',
+    'ServiceName',
     'StateChange',
     'StateMachine',
     'Tick',
--- a/packages/core/src/persimmonreach/core/_identity.py
+++ b/packages/core/src/persimmonreach/core/_identity.py
@@ -5,6 +5,7 @@
 AgentId = NewType('AgentId', str)
 EntryId = NewType('EntryId', str)
 ServiceId = NewType('ServiceId', int)
+ServiceName = NewType('ServiceName', str)
 BucketId = NewType('BucketId', int)
 Incarnation = NewType('Incarnation', int)
 Zone = NewType('Zone', str)
--- a/packages/core/src/persimmonreach/core/_machine.py
+++ b/packages/core/src/persimmonreach/core/_machine.py
@@ -1,9 +1,11 @@
 """Base class of all decisions, and the actions that every slice uses."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Mapping
+from math import inf
 from typing import Any, NamedTuple, TypeAlias
 
-from persimmonreach.core._identity import Endpoint
+from persimmonreach.core._identity import Endpoint, FlowKey
 
 # Events and actions are NamedTuples; the concrete types belong to the slices.
 Event: TypeAlias = Any
@@ -55,6 +57,28 @@
     detail: str = ''
 
 
+class Decision(NamedTuple):
+    """Log one line for a decision about a flow.
+
+    Attributes
+    ----------
+    event
+        Fixed event name, in snake case.
+    flow
+        Flow that the decision is about.
+    outcome
+        What was decided.
+    inputs
+        What decided it, with its age or version.
+
+    """
+
+    event: str
+    flow: FlowKey
+    outcome: str
+    inputs: Mapping[str, Any]
+
+
 class Received(NamedTuple):
     """A wire message that arrived from another process of the system."""
 
@@ -73,6 +97,11 @@
     thread, so that the same code runs in a daemon and in the fault matrix.
     """
 
+    @property
+    def wake_at(self) -> float:
+        """Time at which the machine wants a ``Tick``; infinite if never."""
+        return inf
+
     @abstractmethod
     def handle(self, event: Event, now: float) -> tuple[Action, ...]:
         """Return the actions that ``event`` causes.
--- a/packages/daemon/src/persimmonreach/daemon/_agent_process.py
+++ b/packages/daemon/src/persimmonreach/daemon/_agent_process.py
@@ -20,11 +20,11 @@
 from persimmonreach.core import AgentId, Endpoint, Incarnation, Zone
 from persimmonreach.daemon._agent_parts import make_router
 from persimmonreach.daemon._agent_status import AgentStatusSource
-from persimmonreach.daemon._figures import TaskFigures, add_counts
+from persimmonreach.observability import TaskFigures, add_counts
 from persimmonreach.daemon._process import DaemonProcess
 from persimmonreach.daemon._service_waiter import ServiceWaiter, find_service
 from persimmonreach.daemon._settings import AgentSettings
-from persimmonreach.daemon._shutdown import StopSignal
+from persimmonreach.observability.tasks import StopSignal
 from persimmonreach.membership import (
     AgentMembership,
     FlowsCounted,
--- a/packages/daemon/src/persimmonreach/daemon/_entry_process.py
+++ b/packages/daemon/src/persimmonreach/daemon/_entry_process.py
@@ -27,10 +27,10 @@
     EntryState,
     EntryStatusSource,
 )
-from persimmonreach.daemon._figures import TaskFigures
+from persimmonreach.observability import TaskFigures
 from persimmonreach.daemon._process import DaemonProcess
 from persimmonreach.daemon._settings import EntrySettings
-from persimmonreach.daemon._shutdown import StopSignal
+from persimmonreach.observability.tasks import StopSignal
 from persimmonreach.membership import EntryMembership, ViewChanged
 from persimmonreach.membership.messages import MESSAGE_TYPES as MEMBERSHIP_TYPES
 from persimmonreach.membership.tasks import EntryMembershipTask
--- a/packages/daemon/src/persimmonreach/daemon/_process.py
+++ b/packages/daemon/src/persimmonreach/daemon/_process.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 
 from persimmonreach.core import Endpoint, MonotonicClock
-from persimmonreach.daemon._dispatch import Dispatcher
+from persimmonreach.observability import Dispatcher
 from persimmonreach.daemon._settings import AgentSettings, EntrySettings, shared_keys
 from persimmonreach.daemon._wire import PACKET_TYPES, make_codec
 from persimmonreach.observability import Counters, configure_logs
--- /dev/null
+++ b/packages/discovery/src/persimmonreach/discovery/__init__.py
@@ -0,0 +1,45 @@
+"""Agents and entry instances that know each other."""
+
+from persimmonreach.discovery._announcer import StatusAnnouncer
+from persimmonreach.discovery._directory import AgentDirectory
+from persimmonreach.discovery._events import (
+    AgentsListed,
+    EntriesListed,
+    ListedAgent,
+    ListedEntry,
+    LoadChanged,
+    ZonesReported,
+)
+from persimmonreach.discovery._registration import (
+    AGENTS_PREFIX,
+    ENTRIES_PREFIX,
+    Registration,
+    decode_agent,
+    decode_entry,
+    encode_agent,
+    encode_entry,
+)
+from persimmonreach.discovery._rows import AgentRow
+from persimmonreach.discovery.messages import AgentState, AgentStatus, EntryStatus
+
+__all__ = (
+    'AGENTS_PREFIX',
+    'ENTRIES_PREFIX',
+    'AgentDirectory',
+    'AgentRow',
+    'AgentState',
+    'AgentStatus',
+    'AgentsListed',
+    'EntriesListed',
+    'EntryStatus',
+    'ListedAgent',
+    'ListedEntry',
+    'LoadChanged',
+    'Registration',
+    'StatusAnnouncer',
+    'ZonesReported',
+    'decode_agent',
+    'decode_entry',
+    'encode_agent',
+    'encode_entry',
+)
--- /dev/null
+++ b/packages/discovery/src/persimmonreach/discovery/_announcer.py
@@ -0,0 +1,164 @@
+"""Status messages of an agent to the entry instances it knows."""
+
+from math import inf
+from random import Random
+from typing import Final
+
+from persimmonreach.core import (
+    Action,
+    Count,
+    Endpoint,
+    EntryId,
+    Event,
+    Received,
+    Send,
+    StateMachine,
+    Tick,
+)
+from persimmonreach.discovery._events import (
+    EntriesListed,
+    LoadChanged,
+    ZonesReported,
+)
+from persimmonreach.discovery.messages import AgentStatus, EntryStatus
+
+# Status period toward one entry instance.
+STATUS_S: Final = 0.5
+# Status messages of one agent a second at most: 20 of about 100 bytes are half
+# of the budget for control traffic, so the period grows with the entry
+# instances.
+LARGEST_RATE: Final = 20
+# A change of state is repeated this often to those that did not confirm it.
+REPEAT_S: Final = 0.1
+# An entry instance that did not answer for this time is forgotten; it greets
+# the agents again when it returns.
+SILENCE_S: Final = 10
+
+
+class _EntryRow:
+    __slots__ = ('acknowledged', 'endpoint', 'heard_at', 'send_at')
+
+    def __init__(self, endpoint: Endpoint, now: float) -> None:
+        self.endpoint = endpoint
+        self.heard_at = now
+        self.send_at = now
+        self.acknowledged = 0
+
+
+class StatusAnnouncer(StateMachine):
+    """Tells entry instances the state and the load of an agent.
+
+    Events: ``EntriesListed``, ``LoadChanged``, ``Received`` with an
+    ``EntryStatus``, ``Tick``. Actions: ``Send``, ``ZonesReported``, ``Count``.
+
+    Parameters
+    ----------
+    status
+        First status, which names the agent.
+    random
+        Source of the jitter that spreads the messages.
+
+    """
+
+    def __init__(self, status: AgentStatus, random: Random) -> None:
+        self._status = status
+        self._random = random
+        self._entries: dict[EntryId, _EntryRow] = {}
+        self._changed_sequence = 0
+
+    @property
+    def status(self) -> AgentStatus:
+        """Latest status."""
+        return self._status
+
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether all known entry instances know the present state."""
+        return not any(self._is_behind(row) for row in self._entries.values())
+
+    @property
+    def wake_at(self) -> float:
+        """Time of the next message."""
+        return min((row.send_at for row in self._entries.values()), default=inf)
+
+    @property
+    def _period(self) -> float:
+        return max(STATUS_S, len(self._entries) / LARGEST_RATE)
+
+    def handle(self, event: Event, now: float) -> tuple[Action, ...]:
+        """Return the actions that ``event`` causes."""
+        match event:
+            case LoadChanged():
+                return self._on_load(event, now)
+            case Received(sender, EntryStatus() as status):
+                return self._on_entry(sender, status, now)
+            case EntriesListed(entries):
+                return tuple(
+                    action
+                    for listed in entries
+                    for action in self._add(listed.entry, listed.endpoint, now)
+                )
+            case Tick():
+                return self._on_tick(now)
+            case _:
+                return (Count('discovery_unknown_events'),)
+
+    def _on_load(self, event: LoadChanged, now: float) -> tuple[Action, ...]:
+        is_change = event.state != self._status.state
+        self._status = self._status._replace(**event._asdict())
+        if not is_change:
+            return ()
+        self._advance()
+        self._changed_sequence = self._status.sequence
+        return tuple(self._send(row, now) for row in self._entries.values())
+
+    def _on_entry(
+        self,
+        sender: Endpoint,
+        status: EntryStatus,
+        now: float,
+    ) -> tuple[Action, ...]:
+        reported = ZonesReported(status.version, status.zones_out)
+        if status.leaving:
+            self._entries.pop(status.entry, None)
+            return (reported,)
+        added = self._add(status.entry, sender, now)
+        row = self._entries[status.entry]
+        row.heard_at = now
+        row.acknowledged = max(row.acknowledged, status.acknowledged)
+        return (*added, reported)
+
+    def _add(
+        self,
+        entry: EntryId,
+        endpoint: Endpoint,
+        now: float,
+    ) -> tuple[Action, ...]:
+        row = self._entries.get(entry)
+        if row is not None and row.endpoint == endpoint:
+            return ()
+        self._entries[entry] = row = _EntryRow(endpoint, now)
+        self._advance()
+        return (self._send(row, now),)
+
+    def _on_tick(self, now: float) -> tuple[Action, ...]:
+        for entry, row in tuple(self._entries.items()):
+            if now - row.heard_at > SILENCE_S:
+                self._entries.pop(entry)
+        due = [row for row in self._entries.values() if row.send_at <= now]
+        if due:
+            self._advance()
+        return tuple(self._send(row, now) for row in due)
+
+    def _advance(self) -> None:
+        self._status = self._status._replace(sequence=self._status.sequence + 1)
+
+    def _is_behind(self, row: _EntryRow) -> bool:
+        return row.acknowledged < self._changed_sequence
+
+    def _send(self, row: _EntryRow, now: float) -> Send:
+        if self._is_behind(row):
+            row.send_at = now + REPEAT_S
+        else:
+            row.send_at = now + self._period * self._random.uniform(0.9, 1.1)
+        return Send(row.endpoint, self._status)
--- /dev/null
+++ b/packages/discovery/src/persimmonreach/discovery/_directory.py
@@ -0,0 +1,152 @@
+"""Agents known to an entry instance."""
+
+from collections.abc import Iterable, Mapping
+from types import MappingProxyType
+from typing import Final
+
+from persimmonreach.core import (
+    Action,
+    AgentId,
+    Count,
+    Endpoint,
+    Event,
+    Received,
+    Send,
+    ServiceName,
+    StateChange,
+    StateMachine,
+    Tick,
+)
+from persimmonreach.discovery._events import AgentsListed, ListedAgent
+from persimmonreach.discovery._rows import AgentRow, row_of
+from persimmonreach.discovery.messages import AgentState, AgentStatus, EntryStatus
+
+# An agent that was never heard is greeted this often until it answers.
+GREETING_S: Final = 0.25
+# A row is kept this long after its last sign of life: as long as a flow may
+# last, so that a search does not miss its holder.
+RETENTION_S: Final = 60
+_NO_ROWS: Final[Mapping[AgentId, AgentRow]] = MappingProxyType({})
+
+
+class AgentDirectory(StateMachine):
+    """Agents by service, from the store and from their own status messages.
+
+    Events: ``Received`` with an ``AgentStatus``, ``AgentsListed``, ``Tick``.
+    Actions: ``Send``, ``StateChange``, ``Count``.
+
+    Parameters
+    ----------
+    status
+        Status of this entry instance, with which agents are greeted.
+
+    """
+
+    def __init__(self, status: EntryStatus) -> None:
+        self._status = status
+        self._rows: dict[AgentId, AgentRow] = {}
+        self._by_service: dict[ServiceName, dict[AgentId, AgentRow]] = {}
+        self._forget_at: dict[AgentId, float] = {}
+        self._greet_at: float = 0
+
+    def __len__(self) -> int:
+        """Return the number of agents."""
+        return len(self._rows)
+
+    @property
+    def rows(self) -> Iterable[AgentRow]:
+        """All agents."""
+        return self._rows.values()
+
+    def announce(self, status: EntryStatus) -> tuple[Action, ...]:
+        """Tell all agents the new status of this entry instance."""
+        self._status = status
+        return tuple(Send(row.endpoint, status) for row in self._rows.values())
+
+    def find(self, agent: AgentId) -> AgentRow | None:
+        """Return the row of an agent."""
+        return self._rows.get(agent)
+
+    def of_service(self, service: ServiceName) -> Mapping[AgentId, AgentRow]:
+        """Return the agents of a service."""
+        return self._by_service.get(service, _NO_ROWS)
+
+    def handle(self, event: Event, now: float) -> tuple[Action, ...]:
+        """Return the actions that ``event`` causes."""
+        match event:
+            case Received(sender, AgentStatus() as status):
+                return self._on_status(sender, status, now)
+            case AgentsListed(agents):
+                return self._on_listed(agents, now)
+            case Tick():
+                return self._on_tick(now)
+            case _:
+                return (Count('discovery_unknown_events'),)
+
+    def _on_status(
+        self,
+        sender: Endpoint,
+        status: AgentStatus,
+        now: float,
+    ) -> tuple[Action, ...]:
+        answer = Send(sender, self._status._replace(acknowledged=status.sequence))
+        row = self._rows.get(status.agent)
+        if row is not None and row.status.service != status.service:
+            # The instance serves another service now.
+            self._drop(status.agent)
+            row = None
+        if row is None:
+            row = AgentRow(status, sender)
+            self._add(row)
+            row.hear(status, now)
+            return (answer, _state_change(row))
+        before = row.status.state
+        row.endpoint = sender
+        row.hear(status, now)
+        self._forget_at.pop(status.agent, None)
+        if row.status.state == before:
+            return (answer,)
+        return (answer, _state_change(row))
+
+    def _on_listed(
+        self,
+        agents: tuple[ListedAgent, ...],
+        now: float,
+    ) -> tuple[Action, ...]:
+        new = [row_of(listed) for listed in agents if listed.agent not in self._rows]
+        for row in new:
+            self._add(row)
+        self._greet_at = now + GREETING_S
+        return tuple(Send(row.endpoint, self._status) for row in new)
+
+    def _on_tick(self, now: float) -> tuple[Action, ...]:
+        self._forget_silent(now)
+        if now < self._greet_at:
+            return ()
+        self._greet_at = now + GREETING_S
+        return tuple(
+            Send(row.endpoint, self._status)
+            for row in self._rows.values()
+            if not row.was_heard
+        )
+
+    def _forget_silent(self, now: float) -> None:
+        for agent, row in tuple(self._rows.items()):
+            if not row.is_silent(now):
+                continue
+            if now > self._forget_at.setdefault(agent, now + RETENTION_S):
+                self._drop(agent)
+
+    def _add(self, row: AgentRow) -> None:
+        self._rows[row.agent] = row
+        self._by_service.setdefault(row.status.service, {})[row.agent] = row
+
+    def _drop(self, agent: AgentId) -> None:
+        row = self._rows.pop(agent)
+        self._forget_at.pop(agent, None)
+        self._by_service[row.status.service].pop(agent)
+
+
+def _state_change(row: AgentRow) -> StateChange:
+    state = AgentState(row.status.state)
+    return StateChange('agent_state', row.agent, state.name.lower())
--- /dev/null
+++ b/packages/discovery/src/persimmonreach/discovery/_rows.py
@@ -0,0 +1,110 @@
+"""What an entry instance knows of one agent."""
+
+from math import inf
+from typing import Final
+
+from persimmonreach.core import AgentId, Endpoint
+from persimmonreach.discovery._events import ListedAgent
+from persimmonreach.discovery.messages import AgentState, AgentStatus
+
+# Three status messages of an agent in a row are lost or late.
+SILENT_AFTER_S: Final = 1.6
+
+
+class AgentRow:
+    """One agent as an entry instance sees it.
+
+    Parameters
+    ----------
+    status
+        First status; made up if the agent is only known from the store.
+    endpoint
+        Address of the agent.
+
+    """
+
+    __slots__ = ('_heard_at', '_offered', '_suspected_until', 'endpoint', 'status')
+
+    def __init__(self, status: AgentStatus, endpoint: Endpoint) -> None:
+        self.status = status
+        self.endpoint = endpoint
+        self._heard_at = -inf
+        self._offered = 0
+        self._suspected_until = -inf
+
+    @property
+    def agent(self) -> AgentId:
+        """Id of the agent."""
+        return self.status.agent
+
+    @property
+    def was_heard(self) -> bool:
+        """Whether any message of the agent has arrived."""
+        return self._heard_at != -inf
+
+    @property
+    def flows(self) -> int:
+        """Reported flows, and those offered since the report."""
+        return self.status.flows + self._offered
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the backend server takes no new flows again."""
+        return self.status.state in {AgentState.DRAINING, AgentState.LEFT}
+
+    @property
+    def load(self) -> float:
+        """Flows and waiting requests for each slot of the backend server."""
+        return (self.flows + self.status.busy) / max(1, self.status.slots)
+
+    def hear(self, status: AgentStatus, now: float) -> None:
+        """Take over a status, unless a later one is known."""
+        self._heard_at = now
+        self._suspected_until = -inf
+        known = self.status
+        is_same_process = status.incarnation == known.incarnation
+        if is_same_process and status.sequence <= known.sequence:
+            return
+        if status.state is AgentState.STARTING and known.state is AgentState.DRAINING:
+            # The agent restarted beside a backend server that is leaving.
+            status = status._replace(state=known.state)
+        self.status = status
+        self._offered = 0
+
+    def note_offer(self) -> None:
+        """Count a flow that is being placed here."""
+        self._offered += 1
+
+    def note_alive(self, now: float) -> None:
+        """Note that the agent answered."""
+        self._heard_at = now
+        self._suspected_until = -inf
+
+    def suspect(self, until: float) -> None:
+        """Avoid the agent for new flows until it is heard again."""
+        self._suspected_until = until
+
+    def refuse(self, state: AgentState) -> None:
+        """Take over the state that a refusal named."""
+        self.status = self.status._replace(state=state)
+
+    def is_silent(self, now: float) -> bool:
+        """Whether the agent should have been heard by now."""
+        return now - self._heard_at > SILENT_AFTER_S
+
+    def is_suspected(self, now: float) -> bool:
+        """Whether the agent did not answer an offer and was not heard since."""
+        return now < self._suspected_until
+
+
+def row_of(listed: ListedAgent) -> AgentRow:
+    """Return the row of an agent that is only known from the store."""
+    status = AgentStatus(
+        agent=listed.agent,
+        incarnation=0,
+        sequence=0,
+        service=listed.service,
+        zone=listed.zone,
+        state=AgentState.STARTING,
+    )
+    return AgentRow(status, listed.endpoint)
--- /dev/null
+++ b/packages/discovery/src/persimmonreach/discovery/messages.py
@@ -0,0 +1,104 @@
+"""Status messages between agents and entry instances."""
+
+from enum import IntEnum
+from types import MappingProxyType
+from typing import Final, NamedTuple
+
+from persimmonreach.core import AgentId, EntryId, Incarnation, ServiceName, Zone
+
+
+class AgentState(IntEnum):
+    """What an agent can do for new flows.
+
+    Attributes
+    ----------
+    STARTING
+        The backend server has not reported yet.
+    READY
+        New flows are accepted.
+    DRAINING
+        The backend server is leaving; its flows stay.
+    DOWN
+        The backend server does not answer.
+    LEFT
+        The backend server is gone, and its flows with it.
+
+    """
+
+    STARTING = 0
+    READY = 1
+    DRAINING = 2
+    DOWN = 3
+    LEFT = 4
+
+
+class AgentStatus(NamedTuple):
+    """State of an agent, sent to each entry instance it knows.
+
+    Attributes
+    ----------
+    agent
+        Id of the agent.
+    incarnation
+        Random number of the process.
+    sequence
+        Rises with each status of the process.
+    service
+        Service of the backend server.
+    zone
+        Availability zone of the agent.
+    state
+        What the agent can do for new flows.
+    flows
+        Flows on record.
+    busy
+        Flows on which a request waits for its answer.
+    slots
+        Requests that the backend server runs at once.
+    cold_ms
+        Milliseconds for which the backend server stays cold.
+
+    """
+
+    agent: AgentId
+    incarnation: Incarnation
+    sequence: int
+    service: ServiceName
+    zone: Zone
+    state: AgentState
+    flows: int = 0
+    busy: int = 0
+    slots: int = 1
+    cold_ms: int = 0
+
+
+class EntryStatus(NamedTuple):
+    """State of an entry instance; answers each status of an agent.
+
+    Attributes
+    ----------
+    entry
+        Id of the entry instance.
+    zone
+        Availability zone of the entry instance.
+    version
+        Version of its configuration.
+    zones_out
+        Availability zones out of service as far as it knows.
+    acknowledged
+        Sequence number of the agent's status that this one answers; 0 if
+        none.
+    leaving
+        Whether the process is about to end.
+
+    """
+
+    entry: EntryId
+    zone: Zone
+    version: int = 0
+    zones_out: tuple[Zone, ...] = ()
+    acknowledged: int = 0
+    leaving: bool = False
+
+
+MESSAGE_TYPES: Final = MappingProxyType({10: AgentStatus, 11: EntryStatus})
--- /dev/null
+++ b/packages/discovery/src/persimmonreach/discovery/tasks.py
@@ -0,0 +1,129 @@
+"""Task that registers a process and reads who else is registered."""
+
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple
+
+import gevent
+
+from persimmonreach.core import Action, Count, StateChange
+from persimmonreach.discovery._registration import RENEWAL_S, Registration
+from persimmonreach.runtime import Task
+from persimmonreach.store import Backoff, Store, StoreContentError, StoreError, StoreValue
+
+# Less than the 2 s within which a registration has to be back after an outage.
+LONGEST_BACKOFF_S: Final = 1
+
+
+class Listed(NamedTuple):
+    """What the task reads about other processes.
+
+    Attributes
+    ----------
+    prefix
+        Start of their keys.
+    decode
+        Returns one registration; raises ``StoreContentError``.
+    event
+        Type of the event that carries all registrations.
+
+    """
+
+    prefix: str
+    decode: Callable[[StoreValue], Any]
+    event: type
+
+
+class RegistrationTask(Task):
+    """Owns the registration of a process.
+
+    The own key is written before the others are read, so that of two
+    processes that start together at least one finds the other.
+
+    Parameters
+    ----------
+    store
+        Store of the platform.
+    registration
+        Key of this process.
+    listed
+        Which other processes are read.
+    sink
+        Takes the events and actions of the task.
+    backoff
+        Waits while the store does not answer.
+
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        registration: Registration,
+        listed: Listed,
+        sink: Callable[[Action], None],
+        backoff: Backoff,
+    ) -> None:
+        super().__init__(tick_seconds=RENEWAL_S)
+        self._store = store
+        self._registration = registration
+        self._listed = listed
+        self._sink = sink
+        self._backoff = backoff
+        self._is_away = False
+
+    def start(self) -> None:
+        """Start to register."""
+        self._spawn(self._keep_registered)
+
+    def receive(self, message: Any) -> None:
+        """Ignore the mailbox: the task acts on time only."""
+
+    def tick(self) -> None:
+        """Do nothing: the task waits for the store."""
+
+    def withdraw(self) -> None:
+        """Remove the registration; it lapses if the store does not answer."""
+        try:
+            self._registration.withdraw()
+        except StoreError as error:
+            self._sink(StateChange('registration_left_to_lapse', '', str(error)))
+
+    def _keep_registered(self) -> None:
+        while True:
+            was_registered = self._registration.is_registered
+            try:
+                self._renew(was_registered)
+            except StoreError as error:
+                self._note_away(error)
+                gevent.sleep(self._backoff.next_wait())
+            else:
+                self._note_back()
+                gevent.sleep(RENEWAL_S)
+
+    def _renew(self, was_registered: bool) -> None:
+        self._registration.renew()
+        if not was_registered:
+            self._sink(StateChange('registered', ''))
+            self._read_others()
+
+    def _read_others(self) -> None:
+        found = []
+        for row in self._store.list_prefix(self._listed.prefix).rows:
+            try:
+                found.append(self._listed.decode(row))
+            except StoreContentError as error:
+                # Another writer's key names nobody; the others hold.
+                self._sink(Count('registrations_malformed'))
+                self._sink(StateChange('registration_malformed', row.key, str(error)))
+        self._sink(self._listed.event(tuple(found)))
+
+    def _note_away(self, error: StoreError) -> None:
+        self._sink(Count('registration_failures'))
+        if not self._is_away:
+            self._is_away = True
+            self._sink(StateChange('store_lost', 'registration', str(error)))
+
+    def _note_back(self) -> None:
+        self._backoff.reset()
+        if self._is_away:
+            self._is_away = False
+            self._sink(StateChange('store_regained', 'registration'))
--- a/packages/flows/src/persimmonreach/flows/__init__.py
+++ b/packages/flows/src/persimmonreach/flows/__init__.py
@@ -11,6 +11,8 @@
     LocalFlows,
     OpenFlow,
 )
+from persimmonreach.flows._held import HeldFlow, HeldFlows
+from persimmonreach.flows._holders import HolderTable
 from persimmonreach.flows._settings import ProbeSettings
 from persimmonreach.flows._table import FlowTable
 
@@ -23,6 +25,9 @@
     'EndReason',
     'FlowClosed',
     'FlowTable',
+    'HeldFlow',
+    'HeldFlows',
+    'HolderTable',
     'LocalFlows',
     'OpenFlow',
     'ProbeSettings',
--- /dev/null
+++ b/packages/forwarding/src/persimmonreach/forwarding/_backend.py
@@ -0,0 +1,82 @@
+"""Runs of the backend server beside an agent."""
+
+from math import inf
+from typing import Final, NamedTuple
+
+from persimmonreach.forwarding._events import BackendReported
+
+# A backend server that has reported no more often than this was started while
+# the agent was listening, so the agent has seen all of its flows.
+_FIRST_REPORTS: Final = 2
+# Longest life of a flow. After it, the agent has seen all flows of a backend
+# server that was running before the agent.
+_FLOW_LIFE_S: Final = 60
+
+
+class _Run(NamedTuple):
+    backend: str
+    born: int
+
+
+class BackendRun:
+    """Tells runs of the backend server apart.
+
+    A run is named by id and time of start. The times are never compared: the
+    clock of the backend server can step.
+    """
+
+    def __init__(self) -> None:
+        self._run: _Run | None = None
+        self._former: set[_Run] = set()
+        self._sequence = 0
+        self._knows_all_from = inf
+        self._cold_until = inf
+
+    @property
+    def name(self) -> str:
+        """Id of the backend server; empty before its first report."""
+        return self._run.backend if self._run else ''
+
+    @property
+    def cold_until(self) -> float:
+        """Time until which the backend server is cold."""
+        return 0 if self._cold_until == inf else self._cold_until
+
+    def knows_all_flows(self, now: float) -> bool:
+        """Whether the agent has seen the packets of every open flow."""
+        return now >= self._knows_all_from
+
+    def is_current(self, backend: str) -> bool:
+        """Whether the running backend server has this id."""
+        return self._run is not None and self._run.backend == backend
+
+    def observe(self, report: BackendReported, now: float) -> tuple[bool, bool]:
+        """Take note of a report.
+
+        Returns
+        -------
+        tuple of bool
+            Whether the report begins a new run after another one, and whether
+            it is the newest report of the present run.
+
+        """
+        run = _Run(report.backend, report.born)
+        if run in self._former:
+            return False, False
+        if run == self._run:
+            if report.sequence <= self._sequence:
+                return False, False
+            self._sequence = report.sequence
+            self._cold_until = now + report.cold_s
+            return False, True
+        is_restart = self._run is not None
+        if self._run is not None:
+            self._former.add(self._run)
+        self._run = run
+        self._sequence = report.sequence
+        self._cold_until = now + report.cold_s
+        if is_restart or report.sequence <= _FIRST_REPORTS:
+            self._knows_all_from = now
+        else:
+            self._knows_all_from = now + _FLOW_LIFE_S
+        return is_restart, True
--- /dev/null
+++ b/packages/forwarding/src/persimmonreach/forwarding/_events.py
@@ -0,0 +1,56 @@
+"""Events of the packet path."""
+
+from typing import NamedTuple
+
+from persimmonreach.discovery import AgentState
+
+
+class CallerPacketArrived(NamedTuple):
+    """Event: a caller's packet came from the fabric."""
+
+    packet: bytes
+
+
+class BackendPacketArrived(NamedTuple):
+    """Event: the backend server sent a packet."""
+
+    packet: bytes
+
+
+class BackendReported(NamedTuple):
+    """Event: the backend server reported its state.
+
+    Attributes
+    ----------
+    backend
+        Id of the backend server.
+    born
+        Wall-clock time of its start in milliseconds, by its own clock; with
+        ``backend`` it names one run of the backend server.
+    sequence
+        Rises with each report of a run.
+    state
+        ``READY`` or ``DRAINING``.
+    slots
+        Requests that it runs at once.
+    cold_s
+        Seconds for which it stays cold.
+
+    """
+
+    backend: str
+    born: int
+    sequence: int
+    state: AgentState
+    slots: int
+    cold_s: float
+
+
+class BackendLeft(NamedTuple):
+    """Event: the backend server has said that it ends."""
+
+    backend: str
+
+
+class StopRequested(NamedTuple):
+    """Event: the process is asked to end."""
--- /dev/null
+++ b/packages/forwarding/src/persimmonreach/forwarding/_offers.py
@@ -0,0 +1,40 @@
+"""Packets that were handed to the backend server to ask whether it holds the flow."""
+
+from typing import Final
+
+from persimmonreach.core import Deadlines, Endpoint, FlowKey
+
+# A backend server returns a packet of an unknown flow within a millisecond or
+# two; one that was not returned by then was kept.
+OFFER_WAIT_S: Final = 0.012
+
+
+class Offers:
+    """Flows about which the backend server was asked, and who wants to know."""
+
+    def __init__(self) -> None:
+        self._senders: dict[FlowKey, Endpoint] = {}
+        self._deadlines: Deadlines[FlowKey] = Deadlines()
+
+    @property
+    def next_at(self) -> float:
+        """Time at which the next packet counts as kept."""
+        return self._deadlines.next_at
+
+    def put(self, key: FlowKey, sender: Endpoint, now: float) -> None:
+        """Note that a packet of ``key`` was handed to the backend server."""
+        self._senders[key] = sender
+        self._deadlines.put(key, now + OFFER_WAIT_S)
+
+    def cancel(self, key: FlowKey) -> bool:
+        """Note that the packet came back; return whether it was asked for."""
+        self._deadlines.cancel(key)
+        return self._senders.pop(key, None) is not None
+
+    def take(self, key: FlowKey) -> Endpoint | None:
+        """Return who asked, and forget it."""
+        return self._senders.pop(key, None)
+
+    def pop_due(self, now: float) -> list[FlowKey]:
+        """Return the flows whose packet was kept."""
+        return self._deadlines.pop_due(now)
--- /dev/null
+++ b/packages/forwarding/src/persimmonreach/forwarding/tasks.py
@@ -0,0 +1,147 @@
+"""Tasks that own the sockets of the packet path."""
+
+from abc import ABC, abstractmethod
+from collections import Counter
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import gevent
+
+from persimmonreach.core import Action, Clock, Count, Deliver, Reply, Send, StateMachine
+from persimmonreach.forwarding._agent import AgentForwarder
+from persimmonreach.forwarding._entry import EntryForwarder
+from persimmonreach.forwarding._events import BackendPacketArrived, CallerPacketArrived
+from persimmonreach.runtime import BATCH, MachineTask, PeerTransport
+
+
+class CallerLink(ABC):
+    """Exchanges packets with callers."""
+
+    @abstractmethod
+    def receive(self) -> bytes:
+        """Wait for a packet from a caller and return it."""
+
+    @abstractmethod
+    def send(self, packet: bytes) -> None:
+        """Send a packet to its caller; it may be lost."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Close the sockets."""
+
+
+class BackendLink(ABC):
+    """Exchanges packets with the backend server beside an agent."""
+
+    @abstractmethod
+    def receive(self) -> bytes:
+        """Wait for a packet from the backend server and return it."""
+
+    @abstractmethod
+    def deliver(self, packet: bytes) -> None:
+        """Hand a packet to the backend server; it may be lost."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Close the sockets."""
+
+
+class ForwardingTask(MachineTask):
+    """Runs a packet path and carries out its actions.
+
+    Parameters
+    ----------
+    machine
+        Decisions.
+    clock
+        Source of the time.
+    callers
+        Link to the callers; closed with the task.
+    peers
+        Transport to other processes of the system.
+    sink
+        Takes the actions that are not packets, messages or counts.
+
+    """
+
+    def __init__(
+        self,
+        machine: StateMachine,
+        clock: Clock,
+        callers: CallerLink,
+        peers: PeerTransport,
+        sink: Callable[[Action], None],
+    ) -> None:
+        super().__init__(machine, clock)
+        self._callers = callers
+        self._peers = peers
+        self._sink = sink
+        self._counts: Counter[str] = Counter()
+        self._resources.callback(callers.close)
+
+    @property
+    def counts(self) -> Mapping[str, int]:
+        """Figures counted by the decisions."""
+        return self._counts
+
+    def start(self) -> None:
+        """Start to receive messages and packets."""
+        super().start()
+        self._spawn(self._receive_packets)
+
+    def _perform(self, action: Action) -> None:
+        match action:
+            case Send():
+                self._peers.send(action.to, action.message)
+            case Reply():
+                self._callers.send(action.packet)
+            case Count():
+                self._counts[action.name] += action.amount
+            case _:
+                self._sink(action)
+
+    def _receive_packets(self) -> None:
+        while True:
+            for _ in range(BATCH):
+                self.receive(self._next_event())
+            # A socket that always has a packet never makes its reader wait.
+            gevent.sleep(0)
+
+    @abstractmethod
+    def _next_event(self) -> Any:
+        """Wait for a packet and return the event that carries it."""
+
+
+class EntryTask(ForwardingTask):
+    """Owns the flows of an entry instance and its link to the callers."""
+
+    def __init__(self, machine: EntryForwarder, *args: Any) -> None:
+        super().__init__(machine, *args)
+
+    def _next_event(self) -> CallerPacketArrived:
+        return CallerPacketArrived(self._callers.receive())
+
+
+class AgentTask(ForwardingTask):
+    """Owns the flows of an agent and the link to its backend server.
+
+    Parameters
+    ----------
+    backend
+        Link to the backend server; closed with the task.
+
+    """
+
+    def __init__(self, machine: AgentForwarder, backend: BackendLink, *args: Any) -> None:
+        super().__init__(machine, *args)
+        self._backend = backend
+        self._resources.callback(backend.close)
+
+    def _perform(self, action: Action) -> None:
+        if isinstance(action, Deliver):
+            self._backend.deliver(action.packet)
+        else:
+            super()._perform(action)
+
+    def _next_event(self) -> BackendPacketArrived:
+        return BackendPacketArrived(self._backend.receive())
--- /dev/null
+++ b/packages/lookup/src/persimmonreach/lookup/_events.py
@@ -0,0 +1,54 @@
+"""Events and actions of the search for a flow's holder."""
+
+from typing import NamedTuple
+
+from persimmonreach.core import AgentId, FlowKey, ServiceName
+
+
+class SearchHolder(NamedTuple):
+    """Event: a packet arrived of a flow whose holder is not known.
+
+    Attributes
+    ----------
+    key
+        Flow.
+    service
+        Service to which new flows of the destination go; its agents are asked
+        first.
+    packet
+        Packet as it came from the caller.
+    missing_at
+        Agent that is known not to hold the flow.
+
+    """
+
+    key: FlowKey
+    service: ServiceName
+    packet: bytes
+    missing_at: AgentId | None = None
+
+
+class HolderFound(NamedTuple):
+    """Action: the flow is held by ``agent``.
+
+    Attributes
+    ----------
+    key
+        Flow.
+    agent
+        Holder, which has got the first packet.
+    packets
+        Packets that waited for the search.
+
+    """
+
+    key: FlowKey
+    agent: AgentId
+    packets: tuple[bytes, ...]
+
+
+class HolderMissing(NamedTuple):
+    """Action: every agent has answered that it does not hold the flow."""
+
+    key: FlowKey
+    packet: bytes
--- a/packages/observability/src/persimmonreach/observability/__init__.py
+++ b/packages/observability/src/persimmonreach/observability/__init__.py
@@ -1,6 +1,8 @@
 """Counters, health endpoints and structured logs."""
 
 from persimmonreach.observability._counters import Counters, CounterSource
+from persimmonreach.observability._dispatch import Dispatcher
+from persimmonreach.observability._figures import TaskFigures, add_counts
 from persimmonreach.observability._logs import configure_logs, log_state_change
 from persimmonreach.observability._promises import (
     AGENT_PROMISES,
@@ -14,7 +16,10 @@
     'ENTRY_PROMISES',
     'CounterSource',
     'Counters',
+    'Dispatcher',
     'Promise',
+    'TaskFigures',
+    'add_counts',
     'configure_logs',
     'log_state_change',
     'promised_counters',
--- a/packages/daemon/src/persimmonreach/daemon/_dispatch.py
+++ b/packages/observability/src/persimmonreach/observability/_dispatch.py
@@ -4,8 +4,9 @@
 
 import structlog
 
-from persimmonreach.core import Action, Count, StateChange
-from persimmonreach.observability import Counters, log_state_change
+from persimmonreach.core import Action, Count, Decision, StateChange
+from persimmonreach.observability._counters import Counters
+from persimmonreach.observability._logs import log_decision, log_state_change
 from persimmonreach.runtime import Task
 
 
@@ -40,6 +41,8 @@
             self._counters.add(action.name, action.amount)
         elif isinstance(action, StateChange):
             log_state_change(self._logger, action)
+        elif isinstance(action, Decision):
+            log_decision(self._logger, action)
         else:
             for task in self._receivers.get(type(action), ()):
                 task.post(action)
--- a/packages/daemon/src/persimmonreach/daemon/_figures.py
+++ b/packages/observability/src/persimmonreach/observability/_figures.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from collections.abc import Callable, Mapping
 
-from persimmonreach.observability import CounterSource
+from persimmonreach.observability._counters import CounterSource
 
 
 class TaskFigures(CounterSource):
--- a/packages/observability/src/persimmonreach/observability/tasks.py
+++ b/packages/observability/src/persimmonreach/observability/tasks.py
@@ -9,6 +9,9 @@
 
 from persimmonreach.core import Endpoint
 from persimmonreach.observability._counters import Counters
+from persimmonreach.observability._signals import StopSignal
+
+__all__ = ('HttpEndpoint', 'StatusSource', 'StopSignal')
 
 _OK: Final = '200 OK'
 _UNAVAILABLE: Final = '503 Service Unavailable'
--- a/packages/packets/src/persimmonreach/packets/__init__.py
+++ b/packages/packets/src/persimmonreach/packets/__init__.py
@@ -11,6 +11,7 @@
     is_flow_key,
     previous_sequence,
 )
+from persimmonreach.packets._format import LABEL_BYTES, PacketFormat
 from persimmonreach.packets._frames import (
     FrameCodec,
     FrameError,
@@ -50,10 +51,12 @@
     'FrameCodec',
     'FrameError',
     'HeaderCodec',
+    'LABEL_BYTES',
     'Ipv4TcpCodec',
     'MsgpackFrameCodec',
     'Outcome',
     'PacketError',
+    'PacketFormat',
     'PacketHeader',
     'RefusalFrame',
     'RequestFrame',
--- /dev/null
+++ b/packages/packets/src/persimmonreach/packets/_format.py
@@ -0,0 +1,55 @@
+"""Everything that depends on how packets are encoded."""
+
+from abc import abstractmethod
+from typing import Final
+
+from persimmonreach.core import Endpoint, FlowKey
+from persimmonreach.packets._header import HeaderCodec, PacketHeader
+
+# Bytes of a label.
+LABEL_BYTES: Final = 4
+
+
+class PacketFormat(HeaderCodec):
+    """Reads, marks and builds the packets of one front end.
+
+    A label is a mark of the agent's own on a packet for the backend server; a
+    format without room for one returns the packet as it is.
+    """
+
+    @abstractmethod
+    def destination_of(self, key: FlowKey) -> bytes:
+        """Return the destination address and port of a flow, packed."""
+
+    @abstractmethod
+    def pack_destination(self, endpoint: Endpoint) -> bytes:
+        """Return an address and port in the form of :meth:`destination_of`."""
+
+    @abstractmethod
+    def is_bounced(self, packet: bytes) -> bool:
+        """Return whether the backend server sends the caller's packet back."""
+
+    @abstractmethod
+    def label(self, packet: bytes, label: bytes) -> bytes:
+        """Return the packet with a label."""
+
+    @abstractmethod
+    def read_label(self, packet: bytes) -> bytes:
+        """Return the label of a bounced packet."""
+
+    @abstractmethod
+    def restore(self, packet: bytes) -> bytes:
+        """Return a bounced packet as the caller sent it."""
+
+    @abstractmethod
+    def build_reset(self, key: FlowKey, acknowledged: int) -> bytes:
+        """Return a reset toward the caller.
+
+        Parameters
+        ----------
+        key
+            Flow to reset.
+        acknowledged
+            What the caller acknowledged last.
+
+        """
--- /dev/null
+++ b/packages/placement/src/persimmonreach/placement/_events.py
@@ -0,0 +1,50 @@
+"""Events and actions of placement."""
+
+from typing import NamedTuple
+
+from persimmonreach.core import AgentId, FlowKey, ServiceName, Zone
+
+
+class ServiceLimits(NamedTuple):
+    """What placement needs to know of a service.
+
+    Attributes
+    ----------
+    service
+        Name of the service.
+    cold_per_s
+        New flows a second that a cold backend server bears; 0 if no limit is
+        declared.
+
+    """
+
+    service: ServiceName
+    cold_per_s: float = 0
+
+
+class PlaceFlow(NamedTuple):
+    """Event: a new flow needs a backend server."""
+
+    key: FlowKey
+    limits: ServiceLimits
+    packet: bytes
+
+
+class ZonesChanged(NamedTuple):
+    """Event: these availability zones are out of service."""
+
+    zones_out: frozenset[Zone]
+
+
+class FlowPlaced(NamedTuple):
+    """Action: the flow is held by this agent."""
+
+    key: FlowKey
+    agent: AgentId
+
+
+class FlowRejected(NamedTuple):
+    """Action: no backend server takes the flow; nothing has run."""
+
+    key: FlowKey
+    packet: bytes
--- /dev/null
+++ b/packages/placement/src/persimmonreach/placement/_placement.py
@@ -0,0 +1,205 @@
+"""Placement of new flows by an entry instance."""
+
+from typing import Final
+
+from persimmonreach.core import (
+    Action,
+    AgentId,
+    Count,
+    Decision,
+    Event,
+    FlowKey,
+    Received,
+    Send,
+    StateMachine,
+    Tick,
+    Zone,
+)
+from persimmonreach.discovery import AgentDirectory, AgentRow, AgentState
+from persimmonreach.placement._events import (
+    FlowPlaced,
+    FlowRejected,
+    PlaceFlow,
+    ZonesChanged,
+)
+from persimmonreach.placement._pending import PendingFlow, PendingFlows
+from persimmonreach.placement._policy import PlacementPolicy
+from persimmonreach.placement.messages import (
+    FirstPacket,
+    FlowAccepted,
+    FlowRefused,
+    RefusalReason,
+)
+
+# Two ways between zones with jitter (12 ms) and the backend server's
+# handshake, with room for a busy agent; below the 200 ms after which the
+# caller sends a copy.
+OFFER_TIMEOUT_S: Final = 0.07
+# An agent that did not answer an offer is avoided until its next status.
+SUSPICION_S: Final = 2
+# A caller whose first packet was offered this often without an answer has
+# waited for a quarter of the usual latency objective.
+LARGEST_OFFERS: Final = 6
+_STATES_OF_REFUSALS: Final = {
+    RefusalReason.DRAINING: AgentState.DRAINING,
+    RefusalReason.DOWN: AgentState.DOWN,
+}
+
+
+class Placement(StateMachine):
+    """Offers new flows to agents until one accepts.
+
+    Events: ``PlaceFlow``, ``ZonesChanged``, ``Received`` with an answer,
+    ``Tick``. Actions: ``Send``, ``FlowPlaced``, ``FlowRejected``, ``Count``,
+    ``Decision``.
+
+    Parameters
+    ----------
+    directory
+        Known agents.
+    policy
+        Order in which agents are offered a flow.
+
+    """
+
+    def __init__(self, directory: AgentDirectory, policy: PlacementPolicy) -> None:
+        self._directory = directory
+        self._policy = policy
+        self._pending = PendingFlows()
+        self._zones_out: frozenset[Zone] = frozenset()
+
+    @property
+    def wake_at(self) -> float:
+        """Time at which the next offer runs out."""
+        return self._pending.next_deadline
+
+    def offered_to(self, key: FlowKey) -> AgentId | None:
+        """Return the agent that an unsettled flow is offered to."""
+        pending = self._pending.find(key)
+        return pending.current if pending else None
+
+    def holder_of(self, key: FlowKey, acknowledged: int) -> AgentId | None:
+        """Return which backend server the caller chose, if several answered.
+
+        Parameters
+        ----------
+        key
+            Flow.
+        acknowledged
+            Sequence number that the caller's second packet acknowledges.
+
+        """
+        return self._pending.choose(key, acknowledged)
+
+    def handle(self, event: Event, now: float) -> tuple[Action, ...]:
+        """Return the actions that ``event`` causes."""
+        match event:
+            case PlaceFlow():
+                return self._on_place(event, now)
+            case Received(_, FlowAccepted() as accepted):
+                return self._on_accepted(accepted, now)
+            case Received(_, FlowRefused() as refused):
+                return self._on_refused(refused, now)
+            case ZonesChanged(zones_out):
+                self._zones_out = zones_out
+                return ()
+            case Tick():
+                return self._on_tick(now)
+            case _:
+                return (Count('placement_unknown_events'),)
+
+    def _on_place(self, event: PlaceFlow, now: float) -> tuple[Action, ...]:
+        pending = self._pending.find(event.key)
+        if pending is not None:
+            # A copy of a first packet whose flow is being placed.
+            return (Count('first_packets_repeated'),)
+        pending = PendingFlow(event, now)
+        self._pending.add(pending)
+        return self._offer(pending, now)
+
+    def _on_accepted(self, accepted: FlowAccepted, now: float) -> tuple[Action, ...]:
+        row = self._directory.find(accepted.agent)
+        if row is not None:
+            row.note_alive(now)
+        pending = self._pending.settle(accepted, now)
+        if pending is None:
+            return (Count('acceptances_late'),)
+        inputs = {
+            'agent': accepted.agent,
+            'offers': len(pending.offered),
+            'waited_ms': round((now - pending.started_at) * 1000, 1),
+            'load': round(row.load, 2) if row else None,
+        }
+        return (
+            FlowPlaced(accepted.key, accepted.agent),
+            Count('flows_placed'),
+            Decision('flow_placed', accepted.key, 'accepted', inputs),
+        )
+
+    def _on_refused(self, refused: FlowRefused, now: float) -> tuple[Action, ...]:
+        row = self._directory.find(refused.agent)
+        reason = RefusalReason(refused.reason)
+        if row is not None:
+            row.note_alive(now)
+            if reason in _STATES_OF_REFUSALS:
+                row.refuse(_STATES_OF_REFUSALS[reason])
+        counted = Count(f'offers_refused_{reason.name.lower()}')
+        pending = self._pending.find(refused.key)
+        if pending is None or pending.current != refused.agent:
+            return (counted,)
+        return (counted, *self._offer(pending, now))
+
+    def _on_tick(self, now: float) -> tuple[Action, ...]:
+        actions: list[Action] = []
+        for pending in self._pending.expire(now):
+            row = self._directory.find(pending.current) if pending.current else None
+            if row is not None:
+                row.suspect(now + SUSPICION_S)
+            actions.append(Count('offers_unanswered'))
+            actions.extend(self._offer(pending, now))
+        return tuple(actions)
+
+    def _offer(self, pending: PendingFlow, now: float) -> tuple[Action, ...]:
+        row = self._choose(pending, now)
+        if row is None or len(pending.offered) >= LARGEST_OFFERS:
+            return self._reject(pending, now)
+        row.note_offer()
+        self._pending.offer(pending, row.agent, now + OFFER_TIMEOUT_S)
+        limits = pending.event.limits
+        packet = FirstPacket(limits.service, limits.cold_per_s, pending.event.packet)
+        return (Send(row.endpoint, packet),)
+
+    def _reject(self, pending: PendingFlow, now: float) -> tuple[Action, ...]:
+        event = pending.event
+        self._pending.drop(event.key)
+        inputs = {
+            'service': event.limits.service,
+            'agents': len(self._directory.of_service(event.limits.service)),
+            'offered': list(pending.offered),
+            'zones_out': sorted(self._zones_out),
+            'waited_ms': round((now - pending.started_at) * 1000, 1),
+        }
+        return (
+            FlowRejected(event.key, event.packet),
+            Count('flows_rejected'),
+            Decision('flow_rejected', event.key, 'reset', inputs),
+        )
+
+    def _choose(self, pending: PendingFlow, now: float) -> AgentRow | None:
+        service = pending.event.limits.service
+        rows = [
+            row
+            for row in self._directory.of_service(service).values()
+            if self._may_take(row) and row.agent not in pending.offered
+        ]
+        good = [row for row in rows if _is_good(row, now)]
+        ordered = self._policy.order(pending.event.key, good or rows)
+        return ordered[0] if ordered else None
+
+    def _may_take(self, row: AgentRow) -> bool:
+        return not row.is_leaving and row.status.zone not in self._zones_out
+
+
+def _is_good(row: AgentRow, now: float) -> bool:
+    is_ready = row.status.state is AgentState.READY
+    return is_ready and not (row.is_suspected(now) or row.is_silent(now))
--- /dev/null
+++ b/packages/platform/src/persimmonreach/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the platform: names, formats and calls; it decides nothing."""
--- /dev/null
+++ b/packages/platform/src/persimmonreach/platform/_bodies.py
@@ -0,0 +1,137 @@
+"""Bodies of the platform, decoded into the product's types.
+
+Field names of the platform appear only here and in the store client. A body
+that another writer has put there, with fields missing or of another type, is
+refused as a whole.
+"""
+
+import json
+from typing import Any, Final
+
+from persimmonreach.core import Endpoint, ServiceName, Zone
+from persimmonreach.discovery import AgentState
+from persimmonreach.forwarding import BackendReported
+from persimmonreach.rules import Route, RulesDecoder, ServiceRules, Target, TrafficRules
+from persimmonreach.store import StoreContentError, StoreValue
+
+RULES_PREFIX: Final = 'op/'
+_CONFIGURATION_KEY: Final = 'op/config'
+_ZONES_OUT_PREFIX: Final = 'op/evacuate/'
+_MS_PER_S: Final = 1000
+_STATES: Final = {'ready': AgentState.READY, 'draining': AgentState.DRAINING}
+
+
+class BodyError(ValueError):
+    """A body does not have the expected form."""
+
+
+class PlatformRules(RulesDecoder):
+    """Layout of the operator's keys in the platform's store."""
+
+    def decode_routes(self, row: StoreValue) -> TrafficRules | None:
+        """Return the routes in a key; None if the key holds none."""
+        if row.key != _CONFIGURATION_KEY:
+            return None
+        try:
+            return _rules(json.loads(row.value))
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            raise StoreContentError(f'{row.key}: {error!r}') from error
+
+    def zone_of(self, key: str) -> Zone | None:
+        """Return the zone that a key takes out of service; None if none."""
+        if not key.startswith(_ZONES_OUT_PREFIX):
+            return None
+        return Zone(key.removeprefix(_ZONES_OUT_PREFIX))
+
+
+def decode_report(backend: str, body: bytes) -> BackendReported:
+    """Return the report of a backend server.
+
+    Raises
+    ------
+    BodyError
+        If a field is missing or of another type.
+
+    """
+    try:
+        fields = json.loads(body)
+        # ``born`` is the start of the backend server by its own time of day.
+        return BackendReported(
+            backend=backend,
+            born=_whole(fields.get('born', 0)),
+            sequence=_whole(fields['sequence']),
+            state=_STATES[fields['state']],
+            slots=_whole(fields['slots']),
+            cold_s=_whole(fields['coldRemainingMs']) / _MS_PER_S,
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise BodyError(f'report of {backend}: {error!r}') from error
+
+
+def report_origin(body: bytes) -> tuple[str, str]:
+    """Return the service and the address that a report names.
+
+    Raises
+    ------
+    BodyError
+        If one of them is missing or of another type.
+
+    """
+    try:
+        fields = json.loads(body)
+        return _text(fields['service']), _text(fields['address'])
+    except (ValueError, KeyError, TypeError) as error:
+        raise BodyError(f'origin of a report: {error!r}') from error
+
+
+def _rules(fields: Any) -> TrafficRules:
+    return TrafficRules(
+        version=_whole(fields['version']),
+        routes=tuple(_route(route) for route in fields['routes']),
+        services=tuple(
+            ServiceRules(
+                ServiceName(_text(service['name'])),
+                _number(service.get('coldPerS', 0)),
+            )
+            for service in fields['services']
+        ),
+        idle_s=_number(fields['limits']['idleTimeoutMs']) / _MS_PER_S,
+    )
+
+
+def _route(fields: Any) -> Route:
+    # ``prefix`` holds the port of the destination, between slashes.
+    port = int(_text(fields['prefix']).strip('/'))
+    return Route(
+        _text(fields['name']),
+        Endpoint(_text(fields['hostname']), port),
+        _targets(fields),
+    )
+
+
+def _targets(fields: Any) -> tuple[Target, ...]:
+    split = fields.get('weightedServices')
+    if not split:
+        return (Target(ServiceName(_text(fields['service']))),)
+    return tuple(
+        Target(ServiceName(_text(part['service'])), _number(part['weight']))
+        for part in split
+    )
+
+
+def _text(field: Any) -> str:
+    if not isinstance(field, str) or not field:
+        raise TypeError(f'{field!r} is not a text')
+    return field
+
+
+def _whole(field: Any) -> int:
+    if not isinstance(field, int) or isinstance(field, bool) or field < 0:
+        raise TypeError(f'{field!r} is not a whole number')
+    return field
+
+
+def _number(field: Any) -> float:
+    if not isinstance(field, int | float) or isinstance(field, bool) or field < 0:
+        raise TypeError(f'{field!r} is not a number')
+    return field
--- a/packages/runtime/src/persimmonreach/runtime/__init__.py
+++ b/packages/runtime/src/persimmonreach/runtime/__init__.py
@@ -3,11 +3,14 @@
 from persimmonreach.runtime._codec import (
     LARGEST_WINDOW_S,
     EnvelopeError,
+    MessageCodec,
+    PlainCodec,
     SharedKey,
     StaleError,
     WireCodec,
     WireError,
 )
+from persimmonreach.runtime._machine_task import MachineTask
 from persimmonreach.runtime._peer import PeerTask, PeerTransport
 from persimmonreach.runtime._task import BATCH, Task, end_process
 from persimmonreach.runtime._transport import DatagramSocket, UdpSocket
@@ -17,8 +20,11 @@
     'LARGEST_WINDOW_S',
     'DatagramSocket',
     'EnvelopeError',
+    'MachineTask',
+    'MessageCodec',
     'PeerTask',
     'PeerTransport',
+    'PlainCodec',
     'SharedKey',
     'StaleError',
     'Task',
--- a/packages/runtime/src/persimmonreach/runtime/_codec.py
+++ b/packages/runtime/src/persimmonreach/runtime/_codec.py
@@ -2,6 +2,7 @@
 
 import hmac
 import time
+from abc import ABC, abstractmethod
 from collections.abc import Callable, Mapping, Sequence
 from hashlib import blake2b
 from struct import Struct
@@ -55,7 +56,74 @@
     secret: bytes
 
 
-class WireCodec:
+class MessageCodec(ABC):
+    """Encodes message types as datagrams and back."""
+
+    @property
+    @abstractmethod
+    def has_tags(self) -> bool:
+        """Whether each datagram carries a tag of its own."""
+
+    @abstractmethod
+    def encode(self, message: Any) -> bytes:
+        """Return ``message`` as a datagram."""
+
+    @abstractmethod
+    def decode(self, datagram: bytes) -> Any:
+        """Return the message in ``datagram``.
+
+        Raises
+        ------
+        WireError
+            If the datagram is not a message.
+
+        """
+
+
+class PlainCodec(MessageCodec):
+    """Messages without authentication, for a network that is closed to others.
+
+    A datagram is: message type (1 byte), msgpack array of the message's fields.
+
+    Parameters
+    ----------
+    message_types
+        Message type by its number on the wire, from 0 to 255.
+
+    """
+
+    def __init__(self, message_types: Mapping[int, type]) -> None:
+        self._encoder = msgspec.msgpack.Encoder()
+        self._numbers = {
+            message_type: bytes((number,))
+            for number, message_type in message_types.items()
+        }
+        self._decoders = {
+            number: msgspec.msgpack.Decoder(type=message_type)
+            for number, message_type in message_types.items()
+        }
+
+    @property
+    def has_tags(self) -> bool:
+        """Whether each datagram carries a tag of its own."""
+        return False
+
+    def encode(self, message: Any) -> bytes:
+        """Return ``message`` as a datagram."""
+        return self._numbers[type(message)] + self._encoder.encode(message)
+
+    def decode(self, datagram: bytes) -> Any:
+        """Return the message in ``datagram``."""
+        decoder = self._decoders.get(datagram[0]) if datagram else None
+        if decoder is None:
+            raise WireError('unknown message type')
+        try:
+            return decoder.decode(memoryview(datagram)[1:])
+        except ValueError as error:
+            raise WireError(str(error)) from error
+
+
+class WireCodec(MessageCodec):
     """Encodes message types as datagrams and back.
 
     A datagram is: key id (1 byte), keyed BLAKE2 tag (16 bytes), sender's wall
@@ -99,6 +167,11 @@
         self._wall_clock = wall_clock
         self._sent_ns = 0
 
+    @property
+    def has_tags(self) -> bool:
+        """Whether each datagram carries a tag of its own."""
+        return True
+
     def encode(self, message: Any) -> bytes:
         """Return ``message`` as an authenticated datagram."""
         # Two messages with the same content get different times and hence
--- a/packages/runtime/src/persimmonreach/runtime/_mailbox.py
+++ b/packages/runtime/src/persimmonreach/runtime/_mailbox.py
@@ -52,6 +52,10 @@
         self._packets.append(message)
         self._filled.set()
 
+    def wake(self) -> None:
+        """End a wait although there is no message."""
+        self._filled.set()
+
     def wait(self, timeout_s: float) -> None:
         """Wait until there is a message, at most ``timeout_s`` seconds."""
         self._filled.wait(timeout_s)
--- a/packages/runtime/src/persimmonreach/runtime/_peer.py
+++ b/packages/runtime/src/persimmonreach/runtime/_peer.py
@@ -12,8 +12,8 @@
 from persimmonreach.runtime._codec import (
     LARGEST_WINDOW_S,
     EnvelopeError,
+    MessageCodec,
     StaleError,
-    WireCodec,
     WireError,
     message_tag,
 )
@@ -65,7 +65,7 @@
     def __init__(
         self,
         datagrams: DatagramSocket,
-        codec: WireCodec,
+        codec: MessageCodec,
         packet_types: Collection[type] = (),
     ) -> None:
         super().__init__(tick_seconds=1)
@@ -131,7 +131,7 @@
         self._dispatch(Received(sender, message))
 
     def _is_copy(self, message_type: type, datagram: bytes) -> bool:
-        if message_type in self._packet_types:
+        if message_type in self._packet_types or not self._codec.has_tags:
             return False
         return not self._memory.admit(message_tag(datagram), self._clock.now())
 
--- /dev/null
+++ b/packages/store/src/persimmonreach/store/__init__.py
@@ -0,0 +1,35 @@
+"""Interface of the platform's key-value store, and backoff of its users."""
+
+from persimmonreach.store._backoff import Backoff
+from persimmonreach.store._store import (
+    ABSENT,
+    ANY_REVISION,
+    Changes,
+    CompareFailedError,
+    HistoryLostError,
+    LeaseLostError,
+    Listing,
+    Store,
+    StoreContentError,
+    StoreError,
+    StoreUnavailableError,
+    StoreUncertainError,
+    StoreValue,
+)
+
+__all__ = (
+    'ABSENT',
+    'ANY_REVISION',
+    'Backoff',
+    'Changes',
+    'CompareFailedError',
+    'HistoryLostError',
+    'LeaseLostError',
+    'Listing',
+    'Store',
+    'StoreContentError',
+    'StoreError',
+    'StoreUnavailableError',
+    'StoreUncertainError',
+    'StoreValue',
+)
