--- a/packages/core/tests/test_purity.py
+++ b/packages/core/tests/test_purity.py
@@ -14,6 +14,12 @@
     'requests',
     'routing',
     'configuration',
+    'discovery',
+    'forwarding',
+    'lookup',
+    'placement',
+    'rules',
+    'store',
 )
 CHECK = (
     'import sys, importlib; importlib.import_module(sys.argv[1]); '
--- a/packages/daemon/src/persimmonreach/daemon/_agent_process.py
+++ b/packages/daemon/src/persimmonreach/daemon/_agent_process.py
@@ -20,11 +20,9 @@
 from persimmonreach.core import AgentId, Endpoint, Incarnation, Zone
 from persimmonreach.daemon._agent_parts import make_router
 from persimmonreach.daemon._agent_status import AgentStatusSource
-from persimmonreach.observability import TaskFigures, add_counts
 from persimmonreach.daemon._process import DaemonProcess
 from persimmonreach.daemon._service_waiter import ServiceWaiter, find_service
 from persimmonreach.daemon._settings import AgentSettings
-from persimmonreach.observability.tasks import StopSignal
 from persimmonreach.membership import (
     AgentMembership,
     FlowsCounted,
@@ -41,9 +39,11 @@
 from persimmonreach.membership.tasks import AgentMembershipTask
 from persimmonreach.observability import (
     AGENT_PROMISES,
+    TaskFigures,
+    add_counts,
     promised_counters,
 )
-from persimmonreach.observability.tasks import HttpEndpoint
+from persimmonreach.observability.tasks import HttpEndpoint, StopSignal
 from persimmonreach.packets.adapters import UdpBackendServer, UdpFabric
 from persimmonreach.requests import StopRequested
 from persimmonreach.routing import DrainRequested
--- a/packages/daemon/src/persimmonreach/daemon/_entry_process.py
+++ b/packages/daemon/src/persimmonreach/daemon/_entry_process.py
@@ -27,18 +27,17 @@
     EntryState,
     EntryStatusSource,
 )
-from persimmonreach.observability import TaskFigures
 from persimmonreach.daemon._process import DaemonProcess
 from persimmonreach.daemon._settings import EntrySettings
-from persimmonreach.observability.tasks import StopSignal
 from persimmonreach.membership import EntryMembership, ViewChanged
 from persimmonreach.membership.messages import MESSAGE_TYPES as MEMBERSHIP_TYPES
 from persimmonreach.membership.tasks import EntryMembershipTask
 from persimmonreach.observability import (
     ENTRY_PROMISES,
+    TaskFigures,
     promised_counters,
 )
-from persimmonreach.observability.tasks import HttpEndpoint
+from persimmonreach.observability.tasks import HttpEndpoint, StopSignal
 from persimmonreach.packets import Ipv4TcpCodec
 from persimmonreach.packets.adapters import UdpFabric
 from persimmonreach.routing import EntryRouter
--- a/packages/daemon/src/persimmonreach/daemon/_process.py
+++ b/packages/daemon/src/persimmonreach/daemon/_process.py
@@ -4,10 +4,9 @@
 from collections.abc import Iterable
 
 from persimmonreach.core import Endpoint, MonotonicClock
-from persimmonreach.observability import Dispatcher
 from persimmonreach.daemon._settings import AgentSettings, EntrySettings, shared_keys
 from persimmonreach.daemon._wire import PACKET_TYPES, make_codec
-from persimmonreach.observability import Counters, configure_logs
+from persimmonreach.observability import Counters, Dispatcher, configure_logs
 from persimmonreach.runtime import PeerTask, UdpSocket
 
 
--- a/packages/discovery/src/persimmonreach/discovery/_events.py
+++ b/packages/discovery/src/persimmonreach/discovery/_events.py
@@ -74,5 +74,3 @@
 
     version: int
     zones_out: tuple[Zone, ...]
-
-
--- a/packages/lookup/src/persimmonreach/lookup/_search.py
+++ b/packages/lookup/src/persimmonreach/lookup/_search.py
@@ -17,7 +17,7 @@
     StateMachine,
     Tick,
 )
-from persimmonreach.discovery import AgentDirectory, AgentRow, AgentState, AgentsListed
+from persimmonreach.discovery import AgentDirectory, AgentRow, AgentsListed, AgentState
 from persimmonreach.lookup._events import HolderFound, HolderMissing, SearchHolder
 from persimmonreach.lookup.messages import FlowFound, FlowMissing, QueriedPacket
 from persimmonreach.placement import rank_rows
--- a/packages/packets/src/persimmonreach/packets/_format.py
+++ b/packages/packets/src/persimmonreach/packets/_format.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from persimmonreach.core import Endpoint, FlowKey
-from persimmonreach.packets._header import HeaderCodec, PacketHeader
+from persimmonreach.packets._header import HeaderCodec
 
 # Bytes of a label.
 LABEL_BYTES: Final = 4
--- a/packages/placement/src/persimmonreach/placement/_gate.py
+++ b/packages/placement/src/persimmonreach/placement/_gate.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from math import inf
+from types import MappingProxyType
 from typing import Final
 
 from persimmonreach.core import ServiceName, Zone
@@ -10,11 +11,13 @@
 
 # Window over which the new flows of a cold backend server are counted.
 _WINDOW_S: Final = 1
-_STATE_REASONS: Final = {
-    AgentState.DRAINING: RefusalReason.DRAINING,
-    AgentState.LEFT: RefusalReason.DRAINING,
-    AgentState.DOWN: RefusalReason.DOWN,
-}
+_STATE_REASONS: Final = MappingProxyType(
+    {
+        AgentState.DRAINING: RefusalReason.DRAINING,
+        AgentState.LEFT: RefusalReason.DRAINING,
+        AgentState.DOWN: RefusalReason.DOWN,
+    },
+)
 
 
 class AdmissionGate:
--- a/packages/placement/src/persimmonreach/placement/_placement.py
+++ b/packages/placement/src/persimmonreach/placement/_placement.py
@@ -1,5 +1,6 @@
 """Placement of new flows by an entry instance."""
 
+from types import MappingProxyType
 from typing import Final
 
 from persimmonreach.core import (
@@ -40,10 +41,12 @@
 # A caller whose first packet was offered this often without an answer has
 # waited for a quarter of the usual latency objective.
 LARGEST_OFFERS: Final = 6
-_STATES_OF_REFUSALS: Final = {
-    RefusalReason.DRAINING: AgentState.DRAINING,
-    RefusalReason.DOWN: AgentState.DOWN,
-}
+_STATES_OF_REFUSALS: Final = MappingProxyType(
+    {
+        RefusalReason.DRAINING: AgentState.DRAINING,
+        RefusalReason.DOWN: AgentState.DOWN,
+    },
+)
 
 
 class Placement(StateMachine):
@@ -143,7 +146,8 @@
             row.note_alive(now)
             if reason in _STATES_OF_REFUSALS:
                 row.refuse(_STATES_OF_REFUSALS[reason])
-        counted = Count(f'offers_refused_{reason.name.lower()}')
+        name = reason.name.lower()
+        counted = Count(f'offers_refused_{name}')
         pending = self._pending.find(refused.key)
         if pending is None or pending.current != refused.agent:
             return (counted,)
--- a/packages/platform/src/persimmonreach/platform/_bodies.py
+++ b/packages/platform/src/persimmonreach/platform/_bodies.py
@@ -6,6 +6,7 @@
 """
 
 import json
+from types import MappingProxyType
 from typing import Any, Final
 
 from persimmonreach.core import Endpoint, ServiceName, Zone
@@ -18,7 +19,11 @@
 _CONFIGURATION_KEY: Final = 'op/config'
 _ZONES_OUT_PREFIX: Final = 'op/evacuate/'
 _MS_PER_S: Final = 1000
-_STATES: Final = {'ready': AgentState.READY, 'draining': AgentState.DRAINING}
+_STATES: Final = MappingProxyType(
+    {'ready': AgentState.READY, 'draining': AgentState.DRAINING},
+)
+# What reading a field of another form raises.
+_MALFORMED: Final = (ValueError, KeyError, TypeError, AttributeError)
 
 
 class BodyError(ValueError):
@@ -34,7 +39,7 @@
             return None
         try:
             return _rules(json.loads(row.value))
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+        except _MALFORMED as error:
             raise StoreContentError(f'{row.key}: {error!r}') from error
 
     def zone_of(self, key: str) -> Zone | None:
@@ -64,7 +69,7 @@
             slots=_whole(fields['slots']),
             cold_s=_whole(fields['coldRemainingMs']) / _MS_PER_S,
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except _MALFORMED as error:
         raise BodyError(f'report of {backend}: {error!r}') from error
 
 
@@ -80,7 +85,7 @@
     try:
         fields = json.loads(body)
         return _text(fields['service']), _text(fields['address'])
-    except (ValueError, KeyError, TypeError) as error:
+    except _MALFORMED as error:
         raise BodyError(f'origin of a report: {error!r}') from error
 
 
--- a/packages/platform/src/persimmonreach/platform/_endpoints.py
+++ b/packages/platform/src/persimmonreach/platform/_endpoints.py
@@ -16,7 +16,7 @@
 _BAD_REQUEST: Final = '400 Bad Request'
 _NOT_FOUND: Final = '404 Not Found'
 _LARGEST_BODY: Final = 65_536
-_HEADERS: Final = [('Content-Type', 'application/json')]
+_HEADERS: Final = (('Content-Type', 'application/json'),)
 
 
 class ReportEndpoint:
@@ -66,7 +66,7 @@
             self._sink(Count('reports_malformed'))
             self._sink(StateChange('report_malformed', environ['PATH_INFO'], str(error)))
             status = _BAD_REQUEST
-        start_response(status, _HEADERS)
+        start_response(status, list(_HEADERS))
         return [b'{}']
 
     def _answer(self, environ: dict[str, Any]) -> str:
--- a/packages/platform/src/persimmonreach/platform/_entry_process.py
+++ b/packages/platform/src/persimmonreach/platform/_entry_process.py
@@ -5,7 +5,6 @@
 
 import gevent
 
-from persimmonreach.core import Received
 from persimmonreach.discovery import (
     AGENTS_PREFIX,
     ENTRIES_PREFIX,
--- a/packages/platform/src/persimmonreach/platform/_packets.py
+++ b/packages/platform/src/persimmonreach/platform/_packets.py
@@ -29,7 +29,11 @@
 _DESTINATION: Final = slice(28, 32)
 # The same fields within a flow key.
 _KEY_PORT: Final = slice(0, 2)
+_KEY_SOURCE: Final = slice(2, 6)
+_KEY_SOURCE_PORT: Final = slice(6, 8)
 _KEY_DESTINATION: Final = slice(8, 12)
+# The part of a reset's header before the addresses.
+_RESET_HEADER: Final = Struct('<I10xB5x')
 
 _WIRE_SYN: Final = 64
 _WIRE_ACK: Final = 2
@@ -100,11 +104,10 @@
 
     def build_reset(self, key: FlowKey, acknowledged: int) -> bytes:
         """Return a reset toward the caller; it carries no checksum."""
-        caller_ends = key[6:8] + key[8:12] + key[0:2] + key[2:6]
-        header = _HEADER.pack(
-            acknowledged, 0, 0, 0, _WIRE_RST, 0, _NO_LABEL, 0, 0, 0, 0
-        )
-        return header[: _ENDS.start] + caller_ends
+        # The source of the key is the destination of the reset.
+        ends = (_KEY_SOURCE_PORT, _KEY_DESTINATION, _KEY_PORT, _KEY_SOURCE)
+        header = _RESET_HEADER.pack(acknowledged, _WIRE_RST)
+        return header + b''.join(key[part] for part in ends)
 
 
 def caller_host(packet: bytes) -> bytes:
--- a/packages/platform/src/persimmonreach/platform/_process.py
+++ b/packages/platform/src/persimmonreach/platform/_process.py
@@ -10,8 +10,8 @@
 from persimmonreach.core import Endpoint, MonotonicClock
 from persimmonreach.discovery import Registration
 from persimmonreach.discovery.messages import MESSAGE_TYPES as DISCOVERY_TYPES
-from persimmonreach.discovery.tasks import Listed, RegistrationTask
 from persimmonreach.discovery.tasks import LONGEST_BACKOFF_S as REGISTRATION_BACKOFF_S
+from persimmonreach.discovery.tasks import Listed, RegistrationTask
 from persimmonreach.forwarding.messages import MESSAGE_TYPES as FORWARDING_TYPES
 from persimmonreach.forwarding.messages import RoutedPacket
 from persimmonreach.forwarding.tasks import ForwardingTask
--- a/packages/platform/src/persimmonreach/platform/_store.py
+++ b/packages/platform/src/persimmonreach/platform/_store.py
@@ -3,6 +3,7 @@
 import json
 from base64 import b64decode, b64encode
 from http import HTTPStatus
+from types import MappingProxyType
 from typing import Any, Final, NamedTuple
 from urllib.parse import quote
 
@@ -33,7 +34,7 @@
 _UNAVAILABLE: Final = frozenset(
     (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS),
 )
-_HEADERS: Final = {'Content-Type': 'application/json'}
+_HEADERS: Final = MappingProxyType({'Content-Type': 'application/json'})
 
 
 class _Answer(NamedTuple):
--- a/packages/rules/src/persimmonreach/rules/_rules.py
+++ b/packages/rules/src/persimmonreach/rules/_rules.py
@@ -202,10 +202,12 @@
         refused = [action for row in rows for action in self._take(row)]
         if self._rules == before:
             return tuple(refused)
-        detail = f'version {self._rules.version}, out: {sorted(zones_out)}'
+        out = ', '.join(sorted(zones_out))
+        version = self._rules.version
+        detail = f'version {version}, out: {out}'
         return (
             *refused,
-            StateChange('rules_in_force', f'revision {revision}', detail),
+            StateChange('rules_in_force', str(revision), detail),
             RulesChanged(self._rules),
         )
 
--- a/packages/rules/src/persimmonreach/rules/tasks.py
+++ b/packages/rules/src/persimmonreach/rules/tasks.py
@@ -5,8 +5,8 @@
 
 import gevent
 
-from persimmonreach.rules._rules import RulesInForce, RulesListed, RulesWatched
 from persimmonreach.core import Action, Clock, Count, StateChange
+from persimmonreach.rules._rules import RulesInForce, RulesListed, RulesWatched
 from persimmonreach.runtime import Task
 from persimmonreach.store import Backoff, HistoryLostError, Store, StoreError
 
