--- a/packages/discovery/src/persimmonreach/discovery/__init__.py
+++ b/packages/discovery/src/persimmonreach/discovery/__init__.py
@@ -5,14 +5,15 @@
 from persimmonreach.discovery._events import (
     AgentsListed,
     EntriesListed,
-    ListedAgent,
-    ListedEntry,
     LoadChanged,
+    RulesSeen,
     ZonesReported,
 )
+from persimmonreach.discovery._peers import EntryPeers
 from persimmonreach.discovery._registration import (
     AGENTS_PREFIX,
     ENTRIES_PREFIX,
+    PROCESSES_PREFIX,
     Registration,
     decode_agent,
     decode_entry,
@@ -20,9 +21,22 @@
     encode_entry,
 )
 from persimmonreach.discovery._rows import AgentRow
-from persimmonreach.discovery.messages import AgentState, AgentStatus, EntryStatus
+from persimmonreach.discovery.messages import (
+    AgentState,
+    AgentStatus,
+    EntryStatus,
+    ListedAgent,
+    ListedEntry,
+    PeerRows,
+    PeerStatus,
+)
 
 __all__ = (
+    'PeerStatus',
+    'PROCESSES_PREFIX',
+    'PeerRows',
+    'RulesSeen',
+    'EntryPeers',
     'AGENTS_PREFIX',
     'ENTRIES_PREFIX',
     'AgentDirectory',
--- a/packages/discovery/src/persimmonreach/discovery/_announcer.py
+++ b/packages/discovery/src/persimmonreach/discovery/_announcer.py
@@ -139,6 +139,10 @@
         known = self._entries.get(entry)
         if known is not None and known.endpoint == endpoint:
             return ()
+        # Another entry instance had the address before, or it was a seed.
+        self._entries = {
+            other: row for other, row in self._entries.items() if row.endpoint != endpoint
+        }
         added = _EntryRow(endpoint, now)
         self._entries[entry] = added
         self._advance()
--- a/packages/discovery/src/persimmonreach/discovery/_directory.py
+++ b/packages/discovery/src/persimmonreach/discovery/_directory.py
@@ -1,6 +1,7 @@
 """Agents known to an entry instance."""
 
 from collections.abc import Iterable, Mapping
+from math import inf
 from types import MappingProxyType
 from typing import Final
 
@@ -17,15 +18,21 @@
     StateMachine,
     Tick,
 )
-from persimmonreach.discovery._events import AgentsListed, ListedAgent
+from persimmonreach.discovery._events import AgentsListed
 from persimmonreach.discovery._rows import AgentRow, row_of
-from persimmonreach.discovery.messages import AgentState, AgentStatus, EntryStatus
+from persimmonreach.discovery.messages import (
+    AgentState,
+    AgentStatus,
+    EntryStatus,
+)
 
 # An agent that was never heard is greeted this often until it answers.
 GREETING_S: Final = 0.25
 # A row is kept this long after its last sign of life: as long as a flow may
 # last, so that a search does not miss its holder.
 RETENTION_S: Final = 60
+# Time after which all agents have greeted a new entry instance.
+SETTLING_S: Final = 2
 _NO_ROWS: Final[Mapping[AgentId, AgentRow]] = MappingProxyType({})
 
 
@@ -48,6 +55,7 @@
         self._by_service: dict[ServiceName, dict[AgentId, AgentRow]] = {}
         self._forget_at: dict[AgentId, float] = {}
         self._greet_at: float = 0
+        self._read_at = inf
 
     def __len__(self) -> int:
         """Return the number of agents."""
@@ -58,6 +66,23 @@
         """All agents."""
         return self._rows.values()
 
+    @property
+    def is_read(self) -> bool:
+        """Whether all registered agents are known."""
+        return self._read_at != inf
+
+    def is_settled(self, now: float) -> bool:
+        """Whether an agent that is not known can be taken for missing."""
+        return now > self._read_at + SETTLING_S
+
+    def heard(self, now: float) -> list[AgentRow]:
+        """Return the agents whose messages arrive."""
+        return [
+            row
+            for row in self._rows.values()
+            if not row.is_silent(now) and row.status.state is not AgentState.LEFT
+        ]
+
     def announce(self, status: EntryStatus) -> tuple[Action, ...]:
         """Tell all agents the new status of this entry instance."""
         self._status = status
@@ -76,8 +101,8 @@
         match event:
             case Received(sender, AgentStatus() as status):
                 return self._on_status(sender, status, now)
-            case AgentsListed(agents):
-                return self._on_listed(agents, now)
+            case AgentsListed():
+                return self._on_listed(event, now)
             case Tick():
                 return self._on_tick(now)
             case _:
@@ -110,10 +135,14 @@
 
     def _on_listed(
         self,
-        agents: tuple[ListedAgent, ...],
+        event: AgentsListed,
         now: float,
     ) -> tuple[Action, ...]:
-        added = [row_of(listed) for listed in agents if listed.agent not in self._rows]
+        if event.is_complete:
+            self._read_at = min(self._read_at, now)
+        added = [
+            row_of(listed) for listed in event.agents if listed.agent not in self._rows
+        ]
         for unheard in added:
             self._add(unheard)
         self._greet_at = now + GREETING_S
--- a/packages/discovery/src/persimmonreach/discovery/_events.py
+++ b/packages/discovery/src/persimmonreach/discovery/_events.py
@@ -2,31 +2,24 @@
 
 from typing import NamedTuple
 
-from persimmonreach.core import AgentId, Endpoint, EntryId, ServiceName, Zone
-from persimmonreach.discovery.messages import AgentState
+from persimmonreach.core import Zone
+from persimmonreach.discovery.messages import AgentState, ListedAgent, ListedEntry
 
 
-class ListedAgent(NamedTuple):
-    """Registration of an agent in the store."""
-
-    agent: AgentId
-    service: ServiceName
-    zone: Zone
-    endpoint: Endpoint
-
-
-class ListedEntry(NamedTuple):
-    """Registration of an entry instance in the store."""
-
-    entry: EntryId
-    zone: Zone
-    endpoint: Endpoint
+class AgentsListed(NamedTuple):
+    """Event: other agents were read from the store or told by a peer.
 
+    Attributes
+    ----------
+    agents
+        Agents, some of which may be known.
+    is_complete
+        Whether these are all that are registered.
 
-class AgentsListed(NamedTuple):
-    """Event: the registered agents were read from the store."""
+    """
 
     agents: tuple[ListedAgent, ...]
+    is_complete: bool = True
 
 
 class EntriesListed(NamedTuple):
@@ -60,6 +53,25 @@
     cold_ms: int = 0
 
 
+class RulesSeen(NamedTuple):
+    """Event: the rules of this entry instance were read or have changed.
+
+    Attributes
+    ----------
+    as_of
+        Revision of the store up to which they are current.
+    version
+        Version of the configuration.
+    zones_out
+        Availability zones out of service.
+
+    """
+
+    as_of: int
+    version: int
+    zones_out: tuple[Zone, ...]
+
+
 class ZonesReported(NamedTuple):
     """Action: an entry instance reported its configuration.
 
--- a/packages/discovery/src/persimmonreach/discovery/_registration.py
+++ b/packages/discovery/src/persimmonreach/discovery/_registration.py
@@ -4,7 +4,7 @@
 from typing import Any, Final
 
 from persimmonreach.core import AgentId, Endpoint, EntryId, ServiceName, Zone
-from persimmonreach.discovery._events import ListedAgent, ListedEntry
+from persimmonreach.discovery.messages import ListedAgent, ListedEntry
 from persimmonreach.store import (
     ANY_REVISION,
     LeaseLostError,
@@ -13,6 +13,7 @@
     StoreValue,
 )
 
+PROCESSES_PREFIX: Final = 'pr/'
 AGENTS_PREFIX: Final = 'pr/agents/'
 ENTRIES_PREFIX: Final = 'pr/entries/'
 # Four renewals fit a lease, so that three may be lost or late.
@@ -59,17 +60,28 @@
             If the store does not answer; the call can be repeated.
 
         """
-        if self._lease:
-            try:
-                self._store.keep_alive(self._lease)
-            except LeaseLostError:
-                self._lease = 0
+        self._keep_lease()
         if not self._lease:
             self._register()
             return
         self._renewals += 1
         if self._renewals % RENEWALS_PER_CHECK == 0 and self._is_missing():
-            self._store.put(self._key, self._value, ANY_REVISION, self._lease)
+            self._put(self._lease)
+
+    def write(self) -> None:
+        """Register, whether or not the key is thought to exist.
+
+        Raises
+        ------
+        StoreError
+            If the store does not answer; the call can be repeated.
+
+        """
+        self._keep_lease()
+        if self._lease:
+            self._put(self._lease)
+        else:
+            self._register()
 
     def withdraw(self) -> None:
         """End the lease, and the key with it.
@@ -85,9 +97,24 @@
 
     def _register(self) -> None:
         lease = self._store.grant_lease(LEASE_S)
-        self._store.put(self._key, self._value, ANY_REVISION, lease)
+        self._put(lease)
         self._lease = lease
 
+    def _keep_lease(self) -> None:
+        if not self._lease:
+            return
+        try:
+            self._store.keep_alive(self._lease)
+        except LeaseLostError:
+            self._lease = 0
+
+    def _put(self, lease: int) -> None:
+        try:
+            self._store.put(self._key, self._value, ANY_REVISION, lease)
+        except LeaseLostError:
+            self._lease = 0
+            raise
+
     def _is_missing(self) -> bool:
         listing = self._store.list_prefix(self._key, may_be_stale=True)
         return all(row.key != self._key for row in listing.rows)
--- a/packages/discovery/src/persimmonreach/discovery/_rows.py
+++ b/packages/discovery/src/persimmonreach/discovery/_rows.py
@@ -4,8 +4,11 @@
 from typing import Final
 
 from persimmonreach.core import AgentId, Endpoint
-from persimmonreach.discovery._events import ListedAgent
-from persimmonreach.discovery.messages import AgentState, AgentStatus
+from persimmonreach.discovery.messages import (
+    AgentState,
+    AgentStatus,
+    ListedAgent,
+)
 
 # Three status messages of an agent in a row are lost or late.
 SILENT_AFTER_S: Final = 1.6
--- a/packages/discovery/src/persimmonreach/discovery/messages.py
+++ b/packages/discovery/src/persimmonreach/discovery/messages.py
@@ -4,7 +4,14 @@
 from types import MappingProxyType
 from typing import Final, NamedTuple
 
-from persimmonreach.core import AgentId, EntryId, Incarnation, ServiceName, Zone
+from persimmonreach.core import (
+    AgentId,
+    Endpoint,
+    EntryId,
+    Incarnation,
+    ServiceName,
+    Zone,
+)
 
 
 class AgentState(IntEnum):
@@ -101,4 +108,73 @@
     leaving: bool = False
 
 
-MESSAGE_TYPES: Final = MappingProxyType({10: AgentStatus, 11: EntryStatus})
+class ListedAgent(NamedTuple):
+    """Where an agent is, as registered in the store or told by a peer."""
+
+    agent: AgentId
+    service: ServiceName
+    zone: Zone
+    endpoint: Endpoint
+
+
+class ListedEntry(NamedTuple):
+    """Where an entry instance is, as registered or told by a peer."""
+
+    entry: EntryId
+    zone: Zone
+    endpoint: Endpoint
+
+
+class PeerStatus(NamedTuple):
+    """What an entry instance knows, told to another one.
+
+    Attributes
+    ----------
+    entry
+        Id of the sender.
+    zone
+        Availability zone of the sender.
+    agents
+        Hash of the agents that it hears.
+    as_of
+        Revision of the store up to which its rules are current.
+    version
+        Version of its configuration.
+    zones_out
+        Availability zones out of service as far as it knows.
+    watches_closely
+        Whether the sender watches the store on behalf of others.
+    wants_answer
+        Whether the receiver is asked for its own status.
+
+    """
+
+    entry: EntryId
+    zone: Zone
+    agents: int = 0
+    as_of: int = 0
+    version: int = 0
+    zones_out: tuple[Zone, ...] = ()
+    watches_closely: bool = True
+    wants_answer: bool = False
+
+
+class PeerRows(NamedTuple):
+    """Agents and entry instances that the sender hears.
+
+    Attributes
+    ----------
+    agents
+        A part of the agents.
+    entries
+        A part of the entry instances.
+
+    """
+
+    agents: tuple[ListedAgent, ...]
+    entries: tuple[ListedEntry, ...]
+
+
+MESSAGE_TYPES: Final = MappingProxyType(
+    {10: AgentStatus, 11: EntryStatus, 12: PeerStatus, 13: PeerRows},
+)
--- a/packages/discovery/src/persimmonreach/discovery/tasks.py
+++ b/packages/discovery/src/persimmonreach/discovery/tasks.py
@@ -6,7 +6,15 @@
 import gevent
 
 from persimmonreach.core import Action, Count, StateChange
-from persimmonreach.discovery._registration import RENEWAL_S, Registration
+from persimmonreach.discovery._events import AgentsListed, EntriesListed
+from persimmonreach.discovery._registration import (
+    AGENTS_PREFIX,
+    ENTRIES_PREFIX,
+    RENEWAL_S,
+    Registration,
+    decode_agent,
+    decode_entry,
+)
 from persimmonreach.runtime import Task
 from persimmonreach.store import Backoff, Store, StoreContentError, StoreError, StoreValue
 
@@ -15,7 +23,23 @@
 
 
 class Listed(NamedTuple):
-    """What the task reads about other processes.
+    """Registrations of other processes that the task reads.
+
+    Attributes
+    ----------
+    prefix
+        Start of all keys to read.
+    kinds
+        Kinds of registrations among them.
+
+    """
+
+    prefix: str
+    kinds: tuple['ListedKind', ...]
+
+
+class ListedKind(NamedTuple):
+    """Registrations of one kind.
 
     Attributes
     ----------
@@ -33,6 +57,10 @@
     event: type
 
 
+LISTED_AGENTS: Final = ListedKind(AGENTS_PREFIX, decode_agent, AgentsListed)
+LISTED_ENTRIES: Final = ListedKind(ENTRIES_PREFIX, decode_entry, EntriesListed)
+
+
 class RegistrationTask(Task):
     """Owns the registration of a process.
 
@@ -89,9 +117,8 @@
 
     def _keep_registered(self) -> None:
         while True:
-            was_registered = self._registration.is_registered
             try:
-                self._renew(was_registered)
+                self._renew()
             except StoreError as error:
                 self._note_away(error)
                 gevent.sleep(self._backoff.next_wait())
@@ -99,22 +126,33 @@
                 self._note_back()
                 gevent.sleep(RENEWAL_S)
 
-    def _renew(self, was_registered: bool) -> None:
-        self._registration.renew()
-        if not was_registered:
+    def _renew(self) -> None:
+        was_registered = self._registration.is_registered
+        if self._is_away:
+            # What the store removed meanwhile is not told by any answer.
+            self._registration.write()
+        else:
+            self._registration.renew()
+        if self._is_away or not was_registered:
             self._sink(StateChange('registered', ''))
             self._read_others()
 
     def _read_others(self) -> None:
-        found = []
-        for row in self._store.list_prefix(self._listed.prefix).rows:
-            try:
-                found.append(self._listed.decode(row))
-            except StoreContentError as error:
-                # Another writer's key names nobody; the others hold.
-                self._sink(Count('registrations_malformed'))
-                self._sink(StateChange('registration_malformed', row.key, str(error)))
-        self._sink(self._listed.event(tuple(found)))
+        rows = self._store.list_prefix(self._listed.prefix).rows
+        for kind in self._listed.kinds:
+            found = (self._decode(kind, row) for row in rows)
+            self._sink(kind.event(tuple(row for row in found if row is not None)))
+
+    def _decode(self, kind: ListedKind, row: StoreValue) -> Any:
+        if not row.key.startswith(kind.prefix):
+            return None
+        try:
+            return kind.decode(row)
+        except StoreContentError as error:
+            # Another writer's key names nobody; the others hold.
+            self._sink(Count('registrations_malformed'))
+            self._sink(StateChange('registration_malformed', row.key, str(error)))
+            return None
 
     def _note_away(self, error: StoreError) -> None:
         self._sink(Count('registration_failures'))
--- a/packages/flows/src/persimmonreach/flows/_held.py
+++ b/packages/flows/src/persimmonreach/flows/_held.py
@@ -122,6 +122,10 @@
         """Take note of a packet from the backend server."""
         flow = self._flows[key]
         flow.used_at = now
+        if flow.sequence is None:
+            # The flow was open before the agent started.
+            flow.is_open = True
+            flow.acknowledged = header.sequence
         if header.payload_size and flow.is_busy:
             flow.is_busy = False
             self._busy -= 1
--- a/packages/forwarding/src/persimmonreach/forwarding/__init__.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/__init__.py
@@ -5,8 +5,10 @@
 from persimmonreach.forwarding._events import (
     BackendLeft,
     BackendPacketArrived,
+    BackendProbed,
     BackendReported,
     CallerPacketArrived,
+    ProbeBackend,
     StopRequested,
 )
 from persimmonreach.forwarding.messages import RoutedPacket
@@ -16,10 +18,12 @@
     'AgentIdentity',
     'BackendLeft',
     'BackendPacketArrived',
+    'BackendProbed',
     'BackendReported',
     'CallerPacketArrived',
     'EntryForwarder',
     'EntryIdentity',
+    'ProbeBackend',
     'RoutedPacket',
     'StopRequested',
 )
--- a/packages/forwarding/src/persimmonreach/forwarding/_agent.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_agent.py
@@ -1,22 +1,17 @@
-"""Packet path of an agent."""
+"""Decisions of an agent."""
 
 from random import Random
-from typing import Final, NamedTuple
+from typing import Any, Final, NamedTuple
 
 from persimmonreach.core import (
     Action,
     AgentId,
     Count,
-    Decision,
-    Deliver,
-    Endpoint,
     Event,
-    FlowKey,
     Incarnation,
     Received,
-    Reply,
-    Send,
     ServiceName,
+    StateChange,
     StateMachine,
     Tick,
     Zone,
@@ -30,31 +25,25 @@
     StatusAnnouncer,
     ZonesReported,
 )
-from persimmonreach.flows import HeldFlows
 from persimmonreach.forwarding._backend import BackendRun
+from persimmonreach.forwarding._backend_path import BackendPath
 from persimmonreach.forwarding._events import (
     BackendLeft,
     BackendPacketArrived,
+    BackendProbed,
     BackendReported,
+    ProbeBackend,
     StopRequested,
 )
-from persimmonreach.forwarding._labels import Labels
-from persimmonreach.forwarding._offers import Offers
+from persimmonreach.forwarding._liveness import BackendLiveness
 from persimmonreach.forwarding.messages import RoutedPacket
-from persimmonreach.lookup import FlowFound, FlowMissing, PacketReturned, QueriedPacket
-from persimmonreach.packets import SYN, PacketError, PacketFormat, PacketHeader
-from persimmonreach.placement import (
-    AdmissionGate,
-    FirstPacket,
-    FlowAccepted,
-    FlowRefused,
-    RefusalReason,
-)
+from persimmonreach.lookup import QueriedPacket
+from persimmonreach.packets import PacketFormat
+from persimmonreach.placement import AdmissionGate, FirstPacket
 
 _TICK_S: Final = 0.1
 _INCARNATION_BITS: Final = 32
-# Longest life of a flow; a flow without a packet for this time is over.
-_FLOW_RETENTION_S: Final = 60
+_MS_PER_S: Final = 1000
 
 
 class AgentIdentity(NamedTuple):
@@ -69,8 +58,9 @@
     """Decides on every packet, message and change that reaches an agent.
 
     Events: ``BackendPacketArrived``, ``BackendReported``, ``BackendLeft``,
-    ``EntriesListed``, ``Received``, ``StopRequested``, ``Tick``. Actions:
-    ``Deliver``, ``Reply``, ``Send``, ``Count``, ``Decision``, ``StateChange``.
+    ``BackendProbed``, ``EntriesListed``, ``Received``, ``StopRequested``,
+    ``Tick``. Actions: ``Deliver``, ``Reply``, ``Send``, ``ProbeBackend``,
+    ``Count``, ``Decision``, ``StateChange``.
 
     Parameters
     ----------
@@ -89,17 +79,21 @@
         packets: PacketFormat,
         random: Random,
     ) -> None:
-        self._agent = identity.agent
-        self._packets = packets
         self._gate = AdmissionGate(identity.service, identity.zone)
-        self._flows = HeldFlows(_FLOW_RETENTION_S)
         self._run = BackendRun()
-        self._offers = Offers()
-        self._labels = Labels()
+        self._liveness = BackendLiveness()
+        self._path = BackendPath(
+            identity.agent,
+            packets,
+            self._gate,
+            self._run,
+            self._liveness,
+        )
+        incarnation = Incarnation(random.getrandbits(_INCARNATION_BITS))
         self._announcer = StatusAnnouncer(
             AgentStatus(
                 identity.agent,
-                Incarnation(random.getrandbits(_INCARNATION_BITS)),
+                incarnation,
                 1,
                 identity.service,
                 identity.zone,
@@ -112,12 +106,12 @@
     @property
     def wake_at(self) -> float:
         """Time at which the machine wants a ``Tick``."""
-        return min(self._offers.next_at, self._announcer.wake_at, self._tick_at)
-
-    @property
-    def flow_count(self) -> int:
-        """Number of flows on record."""
-        return len(self._flows)
+        return min(
+            self._path.wake_at,
+            self._announcer.wake_at,
+            self._liveness.wake_at,
+            self._tick_at,
+        )
 
     @property
     def is_announced(self) -> bool:
@@ -128,8 +122,8 @@
     def gauges(self) -> dict[str, float]:
         """Present values to publish, by name."""
         return {
-            'flows': len(self._flows),
-            'flows_busy': self._flows.busy,
+            'flows': self._path.flow_count,
+            'flows_busy': self._path.busy,
             'state': int(self._gate.state),
         }
 
@@ -137,9 +131,10 @@
         """Return the actions that ``event`` causes."""
         match event:
             case BackendPacketArrived(packet):
-                return self._on_backend_packet(packet, now)
-            case Received(sender, message):
-                return self._on_message(event, sender, message, now)
+                self._liveness.note_heard(now)
+                return self._path.on_backend_packet(packet, now)
+            case Received(_, message):
+                return self._on_message(event, message, now)
             case Tick():
                 return self._on_tick(event, now)
             case _:
@@ -149,8 +144,12 @@
         match event:
             case BackendReported():
                 return self._on_report(event, now)
+            case BackendProbed(is_up):
+                return self._on_probe(is_up, now)
             case BackendLeft(backend):
-                return self._on_left(backend, now)
+                if self._run.is_current(backend):
+                    return self._set_state(AgentState.LEFT, now)
+                return (Count('reports_of_former_runs'),)
             case EntriesListed():
                 return self._announcer.handle(event, now)
             case StopRequested():
@@ -161,211 +160,79 @@
     def _on_message(
         self,
         event: Received,
-        sender: Endpoint,
-        message: object,
+        message: Any,
         now: float,
     ) -> tuple[Action, ...]:
         match message:
             case RoutedPacket(packet):
-                return self._on_routed(sender, packet, now)
+                return self._path.on_routed(event.sender, packet, now)
             case FirstPacket():
-                return self._on_first(sender, message, now)
+                return self._path.on_first(event.sender, message, now)
             case QueriedPacket(packet):
-                return self._on_queried(sender, packet, now)
+                return self._path.on_queried(event.sender, packet, now)
             case EntryStatus():
                 return self._translate(self._announcer.handle(event, now))
             case _:
                 return (Count('messages_unexpected'),)
 
-    def _on_routed(
-        self,
-        sender: Endpoint,
-        packet: bytes,
-        now: float,
-    ) -> tuple[Action, ...]:
-        header = self._read(packet)
-        if header is None:
-            return (Count('packets_malformed'),)
-        flow = self._flows.find(header.key)
-        if flow is None:
-            if self._run.knows_all_flows(now):
-                return (Send(sender, PacketReturned(self._agent, packet)),)
-            flow = self._flows.add(header.key, sender, now)
-        elif not flow.is_chosen_by(header):
-            self._flows.remove(header.key)
-            return (Send(sender, PacketReturned(self._agent, packet)),)
-        flow.entry = sender
-        self._flows.note_caller(flow, header, now)
-        return (self._deliver(sender, packet),)
-
-    def _on_first(
-        self,
-        sender: Endpoint,
-        message: FirstPacket,
-        now: float,
-    ) -> tuple[Action, ...]:
-        header = self._read(message.packet)
-        if header is None:
-            return (Count('packets_malformed'),)
-        flow = self._flows.find(header.key)
-        if flow is not None and flow.is_open:
-            # A late copy of the first packet of a flow that is open.
-            return (Count('first_packets_late'),)
-        if flow is None:
-            reason = self._gate.judge(message, now)
-            if reason is not None:
-                return self._refuse(sender, header.key, reason)
-            flow = self._flows.add(header.key, sender, now)
-        flow.entry = sender
-        return (self._deliver(sender, message.packet),)
-
-    def _refuse(
-        self,
-        sender: Endpoint,
-        key: FlowKey,
-        reason: RefusalReason,
-    ) -> tuple[Action, ...]:
-        name = reason.name.lower()
-        inputs = {
-            'reason': name,
-            'state': self._gate.state.name.lower(),
-            'flows': len(self._flows),
-            'run': self._run.name,
-        }
-        return (
-            Send(sender, FlowRefused(key, self._agent, reason)),
-            Count(f'flows_refused_{name}'),
-            Decision('flow_refused', key, 'refused', inputs),
-        )
-
-    def _on_queried(
-        self,
-        sender: Endpoint,
-        packet: bytes,
-        now: float,
-    ) -> tuple[Action, ...]:
-        header = self._read(packet)
-        if header is None:
-            return (Count('packets_malformed'),)
-        flow = self._flows.find(header.key)
-        if flow is not None and flow.is_chosen_by(header):
-            flow.entry = sender
-            self._flows.note_caller(flow, header, now)
-            found = FlowFound(header.key, self._agent)
-            return (self._deliver(sender, packet), Send(sender, found))
-        if flow is not None or self._run.knows_all_flows(now):
-            return (Send(sender, FlowMissing(header.key, self._agent)),)
-        # Only the backend server knows whether it holds the flow; it returns
-        # the packet if it does not.
-        self._offers.put(header.key, sender, now)
-        return (self._deliver(sender, packet), Count('packets_offered'))
-
-    def _on_backend_packet(self, packet: bytes, now: float) -> tuple[Action, ...]:
-        if self._packets.is_bounced(packet):
-            return self._on_bounced(packet)
-        try:
-            header = self._packets.read_outbound(packet)
-        except PacketError:
-            return (Count('packets_malformed'),)
-        flow = self._flows.find(header.key)
-        actions: tuple[Action, ...] = ()
-        if flow is None:
-            self._flows.add(header.key, None, now)
-            actions = self._confirm(header.key)
-        elif header.flags & SYN and flow.entry is not None:
-            flow.sequence = header.sequence
-            accepted = FlowAccepted(header.key, self._agent, header.sequence)
-            actions = (Send(flow.entry, accepted),)
-        self._flows.note_backend(header.key, header, now)
-        return (Reply(packet), *actions)
-
-    def _on_bounced(self, packet: bytes) -> tuple[Action, ...]:
-        sender = self._labels.find(self._packets.read_label(packet))
-        packet = self._packets.restore(packet)
-        header = self._read(packet)
-        if header is None:
-            return (Count('packets_malformed'),)
-        counted = Count('packets_bounced')
-        flow = self._flows.find(header.key)
-        if header.is_first:
-            if flow is not None and not flow.is_open:
-                self._flows.remove(header.key)
-            if sender is None:
-                return (counted,)
-            return (counted, *self._refuse(sender, header.key, RefusalReason.FULL))
-        if flow is not None:
-            self._flows.remove(header.key)
-        if sender is None:
-            return (counted,)
-        if self._offers.cancel(header.key):
-            return (counted, Send(sender, FlowMissing(header.key, self._agent)))
-        return (counted, Send(sender, PacketReturned(self._agent, packet)))
-
     def _on_report(self, event: BackendReported, now: float) -> tuple[Action, ...]:
-        is_new, is_current = self._run.observe(event, now)
+        is_restart, is_current = self._run.observe(event, now)
         if not is_current:
             return (Count('reports_of_former_runs'),)
+        self._liveness.note_heard(now)
         actions: tuple[Action, ...] = ()
-        if is_new:
-            actions = self._reset_all()
+        if is_restart:
+            actions = self._path.reset_all()
         self._gate.set_state(event.state, now + event.cold_s)
         return (*actions, *self._announce(event.slots, now))
 
-    def _on_left(self, backend: str, now: float) -> tuple[Action, ...]:
-        if not self._run.is_current(backend):
-            return (Count('reports_of_former_runs'),)
-        return self._set_state(AgentState.LEFT, now)
+    def _on_probe(self, is_up: bool | None, now: float) -> tuple[Action, ...]:
+        was_down = self._liveness.is_down
+        is_crash = self._liveness.note_probe(is_up, now)
+        if is_crash:
+            self._run.note_down(now)
+            return (
+                StateChange('backend_down', self._run.name, 'connection refused'),
+                *self._path.reset_all(),
+                *self._set_state(AgentState.DOWN, now),
+            )
+        if is_up and was_down:
+            return (
+                StateChange('backend_up', self._run.name, 'connection accepted'),
+                *self._set_state(AgentState.STARTING, now),
+            )
+        return self._path.on_probed(now)
 
     def _set_state(self, state: AgentState, now: float) -> tuple[Action, ...]:
-        self._gate.set_state(state, now)
+        self._gate.set_state(state, self._run.cold_until)
         return self._announce(self._announcer.status.slots, now)
 
     def _announce(self, slots: int, now: float) -> tuple[Action, ...]:
         cold_s = max(0, self._run.cold_until - now)
         load = LoadChanged(
             self._gate.state,
-            len(self._flows),
-            self._flows.busy,
+            self._path.flow_count,
+            self._path.busy,
             slots,
-            int(cold_s * 1000),
+            int(cold_s * _MS_PER_S),
         )
-        return self._translate(self._announcer.handle(load, now))
-
-    def _reset_all(self) -> tuple[Action, ...]:
-        """Tell the callers that the flows of the former run are gone."""
-        resets = []
-        for key in self._flows.keys:
-            flow = self._flows.remove(key)
-            if flow is not None and flow.is_open:
-                resets.append(Reply(self._packets.build_reset(key, flow.acknowledged)))
-        return (*resets, Count('flows_lost_with_backend', len(resets)))
+        before = self._announcer.status.state
+        actions = self._translate(self._announcer.handle(load, now))
+        if before == self._gate.state:
+            return actions
+        state = self._gate.state.name.lower()
+        return (StateChange('state', self._run.name, state), *actions)
 
     def _on_tick(self, event: Tick, now: float) -> tuple[Action, ...]:
-        actions: list[Action] = []
-        for key in self._offers.pop_due(now):
-            actions.extend(self._adopt(key, now))
+        actions: list[Action] = list(self._path.on_tick(now))
+        if self._liveness.take_due(now):
+            actions.append(ProbeBackend())
         actions.extend(self._translate(self._announcer.handle(event, now)))
-        if now < self._tick_at:
-            return tuple(actions)
-        self._tick_at = now + _TICK_S
-        self._flows.forget_idle(now)
-        return (*actions, *self._announce(self._announcer.status.slots, now))
-
-    def _adopt(self, key: FlowKey, now: float) -> tuple[Action, ...]:
-        """Take a flow for held whose packet the backend server has kept."""
-        sender = self._offers.take(key)
-        flow = self._flows.find(key) or self._flows.add(key, sender, now)
-        flow.is_open = True
-        if sender is None:
-            return ()
-        return (Send(sender, FlowFound(key, self._agent)),)
-
-    def _confirm(self, key: FlowKey) -> tuple[Action, ...]:
-        sender = self._offers.take(key)
-        self._offers.cancel(key)
-        if sender is None:
-            return ()
-        return (Send(sender, FlowFound(key, self._agent)),)
+        if now >= self._tick_at:
+            self._tick_at = now + _TICK_S
+            self._path.forget_idle(now)
+            actions.extend(self._announce(self._announcer.status.slots, now))
+        return tuple(actions)
 
     def _translate(self, actions: tuple[Action, ...]) -> tuple[Action, ...]:
         outside: list[Action] = []
@@ -375,12 +242,3 @@
             else:
                 outside.append(action)
         return tuple(outside)
-
-    def _read(self, packet: bytes) -> PacketHeader | None:
-        try:
-            return self._packets.read_inbound(packet)
-        except PacketError:
-            return None
-
-    def _deliver(self, sender: Endpoint, packet: bytes) -> Deliver:
-        return Deliver(self._packets.label(packet, self._labels.of(sender)))
--- a/packages/forwarding/src/persimmonreach/forwarding/_backend.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_backend.py
@@ -50,6 +50,10 @@
         """Whether the running backend server has this id."""
         return self._run is not None and self._run.backend == backend
 
+    def note_down(self, now: float) -> None:
+        """Note that the backend server is not running; it holds no flows."""
+        self._knows_all_from = now
+
     def observe(self, report: BackendReported, now: float) -> tuple[bool, bool]:
         """Take note of a report.
 
--- /dev/null
+++ b/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
@@ -0,0 +1,282 @@
+"""Way of packets between entry instances, a backend server and its callers."""
+
+from typing import Final
+
+from persimmonreach.core import (
+    Action,
+    AgentId,
+    Count,
+    Decision,
+    Deliver,
+    Endpoint,
+    FlowKey,
+    Reply,
+    Send,
+)
+from persimmonreach.flows import HeldFlows
+from persimmonreach.forwarding._backend import BackendRun
+from persimmonreach.forwarding._labels import Labels
+from persimmonreach.forwarding._liveness import (
+    FIRST_PACKET_WAIT_S,
+    REQUEST_WAIT_S,
+    BackendLiveness,
+)
+from persimmonreach.forwarding._offers import Offers
+from persimmonreach.lookup import FlowFound, FlowMissing, PacketReturned
+from persimmonreach.packets import SYN, PacketError, PacketFormat, PacketHeader
+from persimmonreach.placement import (
+    AdmissionGate,
+    FirstPacket,
+    FlowAccepted,
+    FlowRefused,
+    RefusalReason,
+)
+
+# Longest life of a flow; a flow without a packet for this time is over.
+_FLOW_RETENTION_S: Final = 60
+
+
+class BackendPath:
+    """Delivers packets of held flows and answers for all others.
+
+    Parameters
+    ----------
+    agent
+        Which agent this is.
+    packets
+        Format of the packets.
+    gate
+        Admits new flows.
+    run
+        Present run of the backend server.
+    liveness
+        Signs of life of the backend server.
+
+    """
+
+    def __init__(
+        self,
+        agent: AgentId,
+        packets: PacketFormat,
+        gate: AdmissionGate,
+        run: BackendRun,
+        liveness: BackendLiveness,
+    ) -> None:
+        self._agent = agent
+        self._packets = packets
+        self._gate = gate
+        self._run = run
+        self._liveness = liveness
+        self._flows = HeldFlows(_FLOW_RETENTION_S)
+        self._offers = Offers()
+        self._labels = Labels()
+
+    @property
+    def wake_at(self) -> float:
+        """Time at which a ``Tick`` is wanted."""
+        return self._offers.next_at
+
+    @property
+    def flow_count(self) -> int:
+        """Number of flows on record."""
+        return len(self._flows)
+
+    @property
+    def busy(self) -> int:
+        """Flows on which a request waits for its answer."""
+        return self._flows.busy
+
+    def on_routed(
+        self,
+        sender: Endpoint,
+        packet: bytes,
+        now: float,
+    ) -> tuple[Action, ...]:
+        """Decide on a packet of a flow that is thought to be held here."""
+        header = self._read(packet)
+        if header is None:
+            return (Count('packets_malformed'),)
+        flow = self._flows.find(header.key)
+        if flow is None:
+            if self._run.knows_all_flows(now):
+                return (Send(sender, PacketReturned(self._agent, packet)),)
+            flow = self._flows.add(header.key, sender, now)
+        elif not flow.is_chosen_by(header):
+            self._flows.remove(header.key)
+            return (Send(sender, PacketReturned(self._agent, packet)),)
+        flow.entry = sender
+        self._flows.note_caller(flow, header, now)
+        if header.payload_size:
+            self._liveness.expect_answer(REQUEST_WAIT_S, now)
+        return (self._deliver(sender, packet),)
+
+    def on_first(
+        self,
+        sender: Endpoint,
+        message: FirstPacket,
+        now: float,
+    ) -> tuple[Action, ...]:
+        """Decide on the first packet of a flow."""
+        header = self._read(message.packet)
+        if header is None:
+            return (Count('packets_malformed'),)
+        flow = self._flows.find(header.key)
+        if flow is not None and flow.is_open:
+            # A late copy of the first packet of a flow that is open.
+            return (Count('first_packets_late'),)
+        if flow is None:
+            reason = self._gate.judge(message, now)
+            if reason is not None:
+                return self._refuse(sender, header.key, reason)
+            flow = self._flows.add(header.key, sender, now)
+        flow.entry = sender
+        self._liveness.expect_answer(FIRST_PACKET_WAIT_S, now)
+        return (self._deliver(sender, message.packet),)
+
+    def on_queried(
+        self,
+        sender: Endpoint,
+        packet: bytes,
+        now: float,
+    ) -> tuple[Action, ...]:
+        """Decide on a packet of a flow whose holder is searched for."""
+        header = self._read(packet)
+        if header is None:
+            return (Count('packets_malformed'),)
+        flow = self._flows.find(header.key)
+        if flow is not None and flow.is_chosen_by(header):
+            flow.entry = sender
+            self._flows.note_caller(flow, header, now)
+            found = FlowFound(header.key, self._agent)
+            return (self._deliver(sender, packet), Send(sender, found))
+        if flow is not None or self._is_surely_missing(now):
+            return (Send(sender, FlowMissing(header.key, self._agent)),)
+        # Only the backend server knows whether it holds the flow; it returns
+        # the packet if it does not.
+        self._offers.put(header.key, sender, now)
+        self._liveness.expect_answer(FIRST_PACKET_WAIT_S, now)
+        return (self._deliver(sender, packet), Count('packets_offered'))
+
+    def on_backend_packet(self, packet: bytes, now: float) -> tuple[Action, ...]:
+        """Decide on a packet from the backend server."""
+        if self._packets.is_bounced(packet):
+            return self._on_bounced(packet)
+        try:
+            header = self._packets.read_outbound(packet)
+        except PacketError:
+            return (Count('packets_malformed'),)
+        flow = self._flows.find(header.key)
+        actions: tuple[Action, ...] = ()
+        if flow is None:
+            self._flows.add(header.key, None, now)
+            actions = self._tell_found(header.key)
+        elif header.flags & SYN and flow.entry is not None:
+            flow.sequence = header.sequence
+            accepted = FlowAccepted(header.key, self._agent, header.sequence)
+            actions = (Send(flow.entry, accepted),)
+        self._flows.note_backend(header.key, header, now)
+        return (Reply(packet), *actions)
+
+    def on_probed(self, now: float) -> tuple[Action, ...]:
+        """Act on a probe that showed no change."""
+        return self.on_tick(now)
+
+    def on_tick(self, now: float) -> tuple[Action, ...]:
+        """Settle packets that the backend server has kept."""
+        actions: list[Action] = []
+        for key in self._offers.pop_due(now):
+            if self._liveness.is_fresh(now):
+                actions.extend(self._adopt(key, now))
+            else:
+                self._offers.wait_longer(key, now)
+        return tuple(actions)
+
+    def forget_idle(self, now: float) -> None:
+        """Forget flows that are over."""
+        self._flows.forget_idle(now)
+
+    def reset_all(self) -> tuple[Action, ...]:
+        """Tell callers and entry instances that all flows are gone."""
+        actions: list[Action] = [
+            Send(sender, FlowMissing(key, self._agent))
+            for key, sender in self._offers.cancel_all()
+        ]
+        for key in self._flows.keys:
+            flow = self._flows.remove(key)
+            if flow is None:
+                continue
+            if flow.is_open:
+                reset = self._packets.build_reset(key, flow.acknowledged)
+                actions.append(Reply(reset))
+            elif flow.entry is not None:
+                actions.extend(self._refuse(flow.entry, key, RefusalReason.DOWN))
+        actions.append(Count('flows_lost_with_backend', len(actions)))
+        return tuple(actions)
+
+    def _is_surely_missing(self, now: float) -> bool:
+        return self._liveness.is_down or self._run.knows_all_flows(now)
+
+    def _refuse(
+        self,
+        sender: Endpoint,
+        key: FlowKey,
+        reason: RefusalReason,
+    ) -> tuple[Action, ...]:
+        name = reason.name.lower()
+        inputs = {
+            'reason': name,
+            'state': self._gate.state.name.lower(),
+            'flows': len(self._flows),
+            'run': self._run.name,
+        }
+        return (
+            Send(sender, FlowRefused(key, self._agent, reason)),
+            Count(f'flows_refused_{name}'),
+            Decision('flow_refused', key, 'refused', inputs),
+        )
+
+    def _on_bounced(self, packet: bytes) -> tuple[Action, ...]:
+        sender = self._labels.find(self._packets.read_label(packet))
+        packet = self._packets.restore(packet)
+        header = self._read(packet)
+        counted = Count('packets_bounced')
+        if header is None or sender is None:
+            return (counted,)
+        if header.is_first:
+            return (counted, *self._on_first_bounced(sender, header.key))
+        self._flows.remove(header.key)
+        if self._offers.cancel(header.key):
+            return (counted, Send(sender, FlowMissing(header.key, self._agent)))
+        return (counted, Send(sender, PacketReturned(self._agent, packet)))
+
+    def _on_first_bounced(self, sender: Endpoint, key: FlowKey) -> tuple[Action, ...]:
+        flow = self._flows.find(key)
+        if flow is not None and flow.is_open:
+            return ()
+        self._flows.remove(key)
+        return self._refuse(sender, key, RefusalReason.FULL)
+
+    def _adopt(self, key: FlowKey, now: float) -> tuple[Action, ...]:
+        """Take a flow for held whose packet the backend server has kept."""
+        sender = self._offers.take(key)
+        flow = self._flows.find(key) or self._flows.add(key, sender, now)
+        flow.is_open = True
+        if sender is None:
+            return ()
+        return (Send(sender, FlowFound(key, self._agent)),)
+
+    def _tell_found(self, key: FlowKey) -> tuple[Action, ...]:
+        sender = self._offers.take(key)
+        if sender is None:
+            return ()
+        self._offers.cancel(key)
+        return (Send(sender, FlowFound(key, self._agent)),)
+
+    def _read(self, packet: bytes) -> PacketHeader | None:
+        try:
+            return self._packets.read_inbound(packet)
+        except PacketError:
+            return None
+
+    def _deliver(self, sender: Endpoint, packet: bytes) -> Deliver:
+        return Deliver(self._packets.label(packet, self._labels.of(sender)))
--- a/packages/forwarding/src/persimmonreach/forwarding/_events.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_events.py
@@ -52,5 +52,22 @@
     backend: str
 
 
+class ProbeBackend(NamedTuple):
+    """Action: find out whether the backend server accepts connections."""
+
+
+class BackendProbed(NamedTuple):
+    """Event: a probe of the backend server has ended.
+
+    Attributes
+    ----------
+    is_up
+        Whether it accepts connections; None if it did not answer in time.
+
+    """
+
+    is_up: bool | None
+
+
 class StopRequested(NamedTuple):
     """Event: the process is asked to end."""
--- a/packages/forwarding/src/persimmonreach/forwarding/_offers.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_offers.py
@@ -31,6 +31,18 @@
         self._deadlines.cancel(key)
         return self._senders.pop(key, None) is not None
 
+    def wait_longer(self, key: FlowKey, now: float) -> None:
+        """Wait once more: the backend server may not be running."""
+        self._deadlines.put(key, now + OFFER_WAIT_S)
+
+    def cancel_all(self) -> list[tuple[FlowKey, Endpoint]]:
+        """Return all flows asked about and who asked, and forget them."""
+        asked = list(self._senders.items())
+        for key in self._senders:
+            self._deadlines.cancel(key)
+        self._senders.clear()
+        return asked
+
     def take(self, key: FlowKey) -> Endpoint | None:
         """Return who asked, and forget it."""
         return self._senders.pop(key, None)
--- a/packages/forwarding/src/persimmonreach/forwarding/tasks.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/tasks.py
@@ -9,7 +9,12 @@
 
 from persimmonreach.core import Action, Clock, Count, Deliver, Reply, Send, StateMachine
 from persimmonreach.forwarding._agent import AgentForwarder
-from persimmonreach.forwarding._events import BackendPacketArrived, CallerPacketArrived
+from persimmonreach.forwarding._events import (
+    BackendPacketArrived,
+    BackendProbed,
+    CallerPacketArrived,
+    ProbeBackend,
+)
 from persimmonreach.runtime import BATCH, MachineTask, PeerTransport
 
 
@@ -40,6 +45,13 @@
     def deliver(self, packet: bytes) -> None:
         """Hand a packet to the backend server; it may be lost."""
 
+    @abstractmethod
+    def probe(self) -> bool | None:
+        """Return whether the backend server accepts connections.
+
+        Waits for the answer; None if there was none in time.
+        """
+
     @abstractmethod
     def close(self) -> None:
         """Close the sockets."""
@@ -136,8 +148,13 @@
     def _perform(self, action: Action) -> None:
         if isinstance(action, Deliver):
             self._backend.deliver(action.packet)
+        elif isinstance(action, ProbeBackend):
+            self._spawn(self._probe)
         else:
             super()._perform(action)
 
+    def _probe(self) -> None:
+        self.receive(BackendProbed(self._backend.probe()))
+
     def _next_event(self) -> BackendPacketArrived:
         return BackendPacketArrived(self._backend.receive())
--- a/packages/lookup/src/persimmonreach/lookup/_search.py
+++ b/packages/lookup/src/persimmonreach/lookup/_search.py
@@ -17,7 +17,7 @@
     StateMachine,
     Tick,
 )
-from persimmonreach.discovery import AgentDirectory, AgentRow, AgentsListed, AgentState
+from persimmonreach.discovery import AgentDirectory, AgentRow, AgentState
 from persimmonreach.lookup._events import HolderFound, HolderMissing, SearchHolder
 from persimmonreach.lookup.messages import FlowFound, FlowMissing, QueriedPacket
 from persimmonreach.placement import rank_rows
@@ -60,7 +60,7 @@
 class HolderSearch(StateMachine):
     """Asks agents for a flow: the likely ones first, then all others.
 
-    Events: ``SearchHolder``, ``AgentsListed``, ``Received`` with an answer,
+    Events: ``SearchHolder``, ``Received`` with an answer,
     ``Tick``. Actions: ``Send``, ``HolderFound``, ``HolderMissing``, ``Count``,
     ``Decision``.
 
@@ -75,7 +75,6 @@
         self._directory = directory
         self._searches: dict[FlowKey, _Search] = {}
         self._deadlines: Deadlines[FlowKey] = Deadlines()
-        self._is_directory_read = False
 
     @property
     def wake_at(self) -> float:
@@ -91,9 +90,6 @@
                 return self._on_found(found, now)
             case Received(_, FlowMissing() as missing):
                 return self._on_missing(missing, now)
-            case AgentsListed():
-                self._is_directory_read = True
-                return ()
             case Tick():
                 return self._on_tick(now)
             case _:
@@ -170,7 +166,7 @@
         self._searches.pop(key)
         self._deadlines.cancel(key)
         inputs = _inputs_of(search, now)
-        if search.waiting or not self._is_directory_read:
+        if search.waiting or not self._directory.is_read:
             return (
                 Count('searches_unfinished'),
                 Decision('holder_not_found', key, 'dropped', inputs),
--- a/packages/placement/src/persimmonreach/placement/_pending.py
+++ b/packages/placement/src/persimmonreach/placement/_pending.py
@@ -18,22 +18,25 @@
 class PendingFlow:
     """A new flow that is offered to one agent after the other.
 
-    Parameters
+    Attributes
     ----------
-    event
-        Flow and its first packet.
-    now
-        Time of the first packet, in seconds.
+    offered
+        Agents that were offered the flow in this round.
+    current
+        Agent that has not answered yet.
+    may_be_taken
+        Whether an agent of this round may take the flow a little later.
 
     """
 
-    __slots__ = ('current', 'event', 'offered', 'started_at')
+    __slots__ = ('current', 'event', 'may_be_taken', 'offered', 'started_at')
 
     def __init__(self, event: PlaceFlow, now: float) -> None:
         self.event = event
         self.started_at = now
         self.offered: list[AgentId] = []
         self.current: AgentId | None = None
+        self.may_be_taken = False
 
 
 class _SettledFlow:
@@ -71,6 +74,13 @@
         pending.current = agent
         self._deadlines.put(pending.event.key, deadline)
 
+    def pause(self, pending: PendingFlow, until: float) -> None:
+        """Offer the flow to all agents again at ``until``."""
+        pending.offered.clear()
+        pending.current = None
+        pending.may_be_taken = False
+        self._deadlines.put(pending.event.key, until)
+
     def drop(self, key: FlowKey) -> None:
         """Stop placing a flow."""
         self._pending.pop(key)
--- a/packages/placement/src/persimmonreach/placement/_placement.py
+++ b/packages/placement/src/persimmonreach/placement/_placement.py
@@ -38,9 +38,13 @@
 OFFER_TIMEOUT_S: Final = 0.07
 # An agent that did not answer an offer is avoided until its next status.
 SUSPICION_S: Final = 2
-# A caller whose first packet was offered this often without an answer has
-# waited for a quarter of the usual latency objective.
-LARGEST_OFFERS: Final = 6
+# A flow that no agent can take at present is offered again after this time.
+RETRY_S: Final = 0.04
+# Copies of a first packet and the answers to them end 1.4 s after the first one.
+FIRST_PACKET_LIFE_S: Final = 1.4
+_MS_PER_S: Final = 1000
+# Refusals that the same agent may take back within the life of a first packet.
+_PASSING_REASONS: Final = frozenset((RefusalReason.COLD, RefusalReason.DOWN))
 _STATES_OF_REFUSALS: Final = MappingProxyType(
     {
         RefusalReason.DRAINING: AgentState.DRAINING,
@@ -130,7 +134,7 @@
         inputs = {
             'agent': accepted.agent,
             'offers': len(pending.offered),
-            'waited_ms': round((now - pending.started_at) * 1000, 1),
+            'waited_ms': round((now - pending.started_at) * _MS_PER_S, 1),
             'load': round(row.load, 2) if row else None,
         }
         return (
@@ -151,44 +155,77 @@
         pending = self._pending.find(refused.key)
         if pending is None or pending.current != refused.agent:
             return (counted,)
+        pending.may_be_taken |= reason in _PASSING_REASONS
         return (counted, *self._offer(pending, now))
 
     def _on_tick(self, now: float) -> tuple[Action, ...]:
         actions: list[Action] = []
         for pending in self._pending.expire(now):
-            row = self._directory.find(pending.current) if pending.current else None
-            if row is not None:
-                row.suspect(now + SUSPICION_S)
-            actions.append(Count('offers_unanswered'))
+            if pending.current:
+                actions.append(self._suspect(pending, now))
             actions.extend(self._offer(pending, now))
         return tuple(actions)
 
+    def _suspect(self, pending: PendingFlow, now: float) -> Count:
+        row = self._directory.find(pending.current)
+        if row is not None:
+            row.suspect(now + SUSPICION_S)
+        pending.may_be_taken = True
+        return Count('offers_unanswered')
+
     def _offer(self, pending: PendingFlow, now: float) -> tuple[Action, ...]:
         row = self._choose(pending, now)
-        if row is None or len(pending.offered) >= LARGEST_OFFERS:
-            return self._reject(pending, now)
+        if row is None:
+            return self._wait(pending, now)
         row.note_offer()
         self._pending.offer(pending, row.agent, now + OFFER_TIMEOUT_S)
         limits = pending.event.limits
         packet = FirstPacket(limits.service, limits.cold_per_s, pending.event.packet)
         return (Send(row.endpoint, packet),)
 
+    def _wait(self, pending: PendingFlow, now: float) -> tuple[Action, ...]:
+        """Offer the flow again soon, unless it is known that nobody takes it."""
+        if now >= pending.started_at + FIRST_PACKET_LIFE_S:
+            self._pending.drop(pending.event.key)
+            inputs = self._inputs_of(pending, now)
+            return (
+                Count('flows_not_placed'),
+                Decision('flow_not_placed', pending.event.key, 'dropped', inputs),
+            )
+        if not (pending.may_be_taken or self._may_recover(pending)):
+            if self._directory.is_settled(now):
+                return self._reject(pending, now)
+        self._pending.pause(pending, now + RETRY_S)
+        return ()
+
+    def _may_recover(self, pending: PendingFlow) -> bool:
+        """Whether an agent that cannot take the flow now may do so soon."""
+        rows = self._directory.of_service(pending.event.limits.service).values()
+        return any(
+            self._may_take(row) and row.status.state is not AgentState.READY
+            for row in rows
+        )
+
     def _reject(self, pending: PendingFlow, now: float) -> tuple[Action, ...]:
         event = pending.event
         self._pending.drop(event.key)
-        inputs = {
-            'service': event.limits.service,
-            'agents': len(self._directory.of_service(event.limits.service)),
-            'offered': list(pending.offered),
-            'zones_out': sorted(self._zones_out),
-            'waited_ms': round((now - pending.started_at) * 1000, 1),
-        }
+        inputs = self._inputs_of(pending, now)
         return (
             FlowRejected(event.key, event.packet),
             Count('flows_rejected'),
             Decision('flow_rejected', event.key, 'reset', inputs),
         )
 
+    def _inputs_of(self, pending: PendingFlow, now: float) -> dict[str, object]:
+        service = pending.event.limits.service
+        return {
+            'service': service,
+            'agents': len(self._directory.of_service(service)),
+            'offered': list(pending.offered),
+            'zones_out': sorted(self._zones_out),
+            'waited_ms': round((now - pending.started_at) * _MS_PER_S, 1),
+        }
+
     def _choose(self, pending: PendingFlow, now: float) -> AgentRow | None:
         service = pending.event.limits.service
         rows = [
--- a/packages/platform/src/persimmonreach/platform/_agent_process.py
+++ b/packages/platform/src/persimmonreach/platform/_agent_process.py
@@ -5,16 +5,17 @@
 
 import gevent
 
+from persimmonreach.core import EntryId, Zone
 from persimmonreach.discovery import (
     AGENTS_PREFIX,
     ENTRIES_PREFIX,
     EntriesListed,
     ListedAgent,
+    ListedEntry,
     Registration,
-    decode_entry,
     encode_agent,
 )
-from persimmonreach.discovery.tasks import Listed
+from persimmonreach.discovery.tasks import LISTED_ENTRIES, Listed
 from persimmonreach.forwarding import AgentForwarder, AgentIdentity, StopRequested
 from persimmonreach.forwarding.tasks import AgentTask
 from persimmonreach.observability.tasks import StatusSource
@@ -71,6 +72,10 @@
             settings.process.zone,
         )
         self._forwarder = AgentForwarder(identity, PlatformPackets(), self._random)
+        self._seeds = tuple(
+            ListedEntry(EntryId(f'seed-{seed.host}'), Zone(''), seed)
+            for seed in settings.process.seeds
+        )
 
     def _start(self, stack: ExitStack) -> None:
         peers = self._make_peers()
@@ -110,10 +115,12 @@
         self._registration = self._make_registration(
             store,
             Registration(store, AGENTS_PREFIX + listed.agent, encode_agent(listed)),
-            Listed(ENTRIES_PREFIX, decode_entry, EntriesListed),
+            Listed(ENTRIES_PREFIX, (LISTED_ENTRIES,)),
         )
         for task in (peers, self._task, self._registration):
             stack.enter_context(task)
+        # Found before the store answers, or while it turns this instance away.
+        self._task.post(EntriesListed(self._seeds))
         self._start_readiness(stack, AgentStatus(self._forwarder), self._task, peers)
 
     def _stop(self) -> None:
--- a/packages/platform/src/persimmonreach/platform/_entry_process.py
+++ b/packages/platform/src/persimmonreach/platform/_entry_process.py
@@ -6,15 +6,20 @@
 import gevent
 
 from persimmonreach.discovery import (
-    AGENTS_PREFIX,
     ENTRIES_PREFIX,
+    PROCESSES_PREFIX,
     AgentsListed,
+    EntriesListed,
     ListedEntry,
     Registration,
-    decode_agent,
     encode_entry,
 )
-from persimmonreach.discovery.tasks import Listed, RegistrationTask
+from persimmonreach.discovery.tasks import (
+    LISTED_AGENTS,
+    LISTED_ENTRIES,
+    Listed,
+    RegistrationTask,
+)
 from persimmonreach.forwarding import EntryForwarder, EntryIdentity, StopRequested
 from persimmonreach.forwarding.tasks import EntryTask
 from persimmonreach.observability.tasks import StatusSource
@@ -23,8 +28,12 @@
 from persimmonreach.platform._packets import PlatformPackets
 from persimmonreach.platform._process import PlatformProcess
 from persimmonreach.platform._settings import EntryProcessSettings
-from persimmonreach.platform._store import PlatformStore
-from persimmonreach.rules import RulesChanged, RulesInForce
+from persimmonreach.rules import (
+    RulesChanged,
+    RulesInForce,
+    RulesOutdated,
+    WatchAssigned,
+)
 from persimmonreach.rules.tasks import RulesFollowerTask
 from persimmonreach.runtime import UdpSocket
 from persimmonreach.store import Backoff
@@ -76,8 +85,16 @@
     def __init__(self, settings: EntryProcessSettings) -> None:
         super().__init__(settings.process)
         self._settings = settings
-        identity = EntryIdentity(settings.entry, settings.process.zone)
-        self._forwarder = EntryForwarder(identity, PlatformPackets())
+        self._listed = ListedEntry(
+            settings.entry,
+            settings.process.zone,
+            settings.process.peer,
+        )
+        self._forwarder = EntryForwarder(
+            EntryIdentity(self._listed, settings.process.seeds),
+            PlatformPackets(),
+            self._random,
+        )
 
     def _start(self, stack: ExitStack) -> None:
         peers = self._make_peers()
@@ -93,33 +110,35 @@
             self._dispatcher.accept,
         )
         peers.route_others(self._task)
-        self._dispatcher.connect(
-            {RulesChanged: (self._task,), AgentsListed: (self._task,)},
-        )
-        store = self._make_store(stack)
-        self._registration = self._make_registration_task(store)
+        self._registration = self._make_registration_task(stack)
         follower = RulesFollowerTask(
-            store,
+            self._make_store(stack),
             RULES_PREFIX,
             RulesInForce(PlatformRules()),
             self._clock,
             self._dispatcher.accept,
             Backoff(_RULES_BACKOFF_S, self._random),
         )
+        self._dispatcher.connect(
+            {
+                RulesChanged: (self._task,),
+                AgentsListed: (self._task,),
+                EntriesListed: (self._task,),
+                RulesOutdated: (follower,),
+                WatchAssigned: (follower,),
+            },
+        )
         for task in (peers, self._task, follower, self._registration):
             stack.enter_context(task)
         self._start_readiness(stack, EntryStatus(self._forwarder), self._task, peers)
 
-    def _make_registration_task(self, store: PlatformStore) -> RegistrationTask:
-        listed = ListedEntry(
-            self._settings.entry,
-            self._process.zone,
-            self._process.peer,
-        )
+    def _make_registration_task(self, stack: ExitStack) -> RegistrationTask:
+        store = self._make_store(stack)
+        key = ENTRIES_PREFIX + self._listed.entry
         return self._make_registration(
             store,
-            Registration(store, ENTRIES_PREFIX + listed.entry, encode_entry(listed)),
-            Listed(AGENTS_PREFIX, decode_agent, AgentsListed),
+            Registration(store, key, encode_entry(self._listed)),
+            Listed(PROCESSES_PREFIX, (LISTED_AGENTS, LISTED_ENTRIES)),
         )
 
     def _stop(self) -> None:
--- a/packages/platform/src/persimmonreach/platform/_links.py
+++ b/packages/platform/src/persimmonreach/platform/_links.py
@@ -2,11 +2,15 @@
 
 from typing import Final
 
+from gevent import socket
+
 from persimmonreach.core import Endpoint
 from persimmonreach.forwarding.tasks import BackendLink, CallerLink
 from persimmonreach.platform._packets import HEADER_BYTES, caller_host, unpack_host
 from persimmonreach.runtime import DatagramSocket
 
+# The backend server runs on the same instance and answers within milliseconds.
+PROBE_TIMEOUT_S: Final = 0.2
 # Addresses of callers whose text is kept.
 _LARGEST_CACHE: Final = 4096
 
@@ -75,6 +79,17 @@
         """Hand a packet to the backend server; it may be lost."""
         self._datagrams.send(packet, self._backend)
 
+    def probe(self) -> bool | None:
+        """Return whether the backend server accepts connections."""
+        try:
+            connection = socket.create_connection(self._backend, PROBE_TIMEOUT_S)
+        except ConnectionError:
+            return False
+        except OSError:
+            return None
+        connection.close()
+        return True
+
     def close(self) -> None:
         """Close the socket."""
         self._datagrams.close()
--- a/packages/platform/src/persimmonreach/platform/_settings.py
+++ b/packages/platform/src/persimmonreach/platform/_settings.py
@@ -35,6 +35,8 @@
         Address of the readiness endpoint.
     store
         Address of the platform's store.
+    seeds
+        Addresses at which entry instances of the first start took messages.
 
     """
 
@@ -44,6 +46,7 @@
     caller_port: int
     readiness: Endpoint
     store: Endpoint
+    seeds: tuple[Endpoint, ...]
 
 
 class EntryProcessSettings(NamedTuple):
@@ -137,6 +140,14 @@
             return 0
         return found[0]
 
+    def hosts(self, *path: str) -> list[str]:
+        """Return the hosts of a list of addresses; it may be missing."""
+        found = self._find(path) or []
+        if not isinstance(found, list):
+            self._report(path, 'not a list of addresses')
+            return []
+        return [str(address).rpartition(':')[0] for address in found]
+
     def raise_findings(self) -> None:
         """Raise all faults together."""
         raise_findings('settings of the platform are invalid', self._findings)
@@ -207,11 +218,14 @@
 
 
 def _read_process(document: _Document) -> ProcessSettings:
+    peer_port = document.first_port('portRange')
     return ProcessSettings(
         document.text('nodeName'),
         Zone(document.text('zone')),
-        Endpoint(document.text('ip'), document.first_port('portRange')),
+        Endpoint(document.text('ip'), peer_port),
         document.endpoint('listen', 'datagramAddr').port,
         document.endpoint('listen', 'readinessAddr'),
         document.endpoint('platform', 'address'),
+        # Seeds name another port of the instances; ports are the same on all.
+        tuple(Endpoint(host, peer_port) for host in document.hosts('seeds')),
     )
--- a/packages/rules/src/persimmonreach/rules/__init__.py
+++ b/packages/rules/src/persimmonreach/rules/__init__.py
@@ -6,10 +6,12 @@
     RulesDecoder,
     RulesInForce,
     RulesListed,
+    RulesOutdated,
     RulesWatched,
     ServiceRules,
     Target,
     TrafficRules,
+    WatchAssigned,
 )
 
 __all__ = (
@@ -18,8 +20,10 @@
     'RulesDecoder',
     'RulesInForce',
     'RulesListed',
+    'RulesOutdated',
     'RulesWatched',
     'ServiceRules',
     'Target',
     'TrafficRules',
+    'WatchAssigned',
 )
--- a/packages/rules/src/persimmonreach/rules/_rules.py
+++ b/packages/rules/src/persimmonreach/rules/_rules.py
@@ -98,9 +98,36 @@
 
 
 class RulesChanged(NamedTuple):
-    """Action: other rules are in force."""
+    """Action: other rules are in force.
+
+    Attributes
+    ----------
+    rules
+        Rules in force.
+    as_of
+        Revision of the store up to which they are current.
+
+    """
 
     rules: TrafficRules
+    as_of: int
+
+
+class RulesOutdated(NamedTuple):
+    """Message: another process has read other rules, and later."""
+
+
+class WatchAssigned(NamedTuple):
+    """Message: how closely this process has to watch the store.
+
+    Attributes
+    ----------
+    is_close
+        Whether the others rely on this process.
+
+    """
+
+    is_close: bool
 
 
 class RulesDecoder(ABC):
@@ -208,7 +235,7 @@
         return (
             *refused,
             StateChange('rules_in_force', str(revision), detail),
-            RulesChanged(self._rules),
+            RulesChanged(self._rules, revision),
         )
 
     def _take(self, row: StoreValue) -> tuple[Action, ...]:
--- a/packages/rules/src/persimmonreach/rules/tasks.py
+++ b/packages/rules/src/persimmonreach/rules/tasks.py
@@ -6,13 +6,21 @@
 import gevent
 
 from persimmonreach.core import Action, Clock, Count, StateChange
-from persimmonreach.rules._rules import RulesInForce, RulesListed, RulesWatched
+from persimmonreach.rules._rules import (
+    RulesInForce,
+    RulesListed,
+    RulesWatched,
+    WatchAssigned,
+)
 from persimmonreach.runtime import Task
 from persimmonreach.store import Backoff, HistoryLostError, Store, StoreError
 
-# A waiting watch counts as one call. A connection that has gone silent is
-# noticed when the watch should have returned.
-WATCH_S: Final = 5
+# A waiting watch counts as one call. While it waits it may be deaf: the store
+# can drop events, or its connection go silent. A close watch is short enough
+# for a change to be in force within 3 s all the same.
+CLOSE_WATCH_S: Final = 1.5
+# Wait of a process that is told by a peer if its watch is deaf.
+WATCH_S: Final = 10.0
 # Changes in quick succession are read together.
 COLLECT_S: Final = 0.1
 
@@ -20,6 +28,8 @@
 class RulesFollowerTask(Task):
     """Owns the rules in force and the watch that keeps them current.
 
+    Messages: ``RulesOutdated``, ``WatchAssigned``.
+
     Parameters
     ----------
     store
@@ -47,6 +57,7 @@
         backoff: Backoff,
     ) -> None:
         super().__init__(tick_seconds=WATCH_S)
+        self._watch_s = CLOSE_WATCH_S
         self._store = store
         self._prefix = prefix
         self._rules = rules
@@ -57,13 +68,26 @@
 
     def start(self) -> None:
         """Start to follow."""
+        super().start()
         self._spawn(self._follow)
 
     def receive(self, message: Any) -> None:
-        """Put an answer of the store in force."""
-        for action in self._rules.handle(message, self._clock.now()):
+        """Read the rules again, or change how closely they are watched."""
+        if isinstance(message, WatchAssigned):
+            self._watch_s = CLOSE_WATCH_S if message.is_close else WATCH_S
+            return
+        try:
+            self._list()
+        except StoreError as error:
+            self._sink(StateChange('rules_not_read', 'peer', str(error)))
+
+    def _apply(self, event: Any) -> None:
+        for action in self._rules.handle(event, self._clock.now()):
             self._sink(action)
 
+    def _list(self) -> None:
+        self._apply(RulesListed(self._store.list_prefix(self._prefix)))
+
     def tick(self) -> None:
         """Do nothing: the task waits for the store."""
 
@@ -80,14 +104,15 @@
 
     def _read(self, is_listed: bool) -> bool:
         if not is_listed:
-            self.receive(RulesListed(self._store.list_prefix(self._prefix)))
+            self._list()
             return True
+        after = self._rules.revision
         try:
-            changes = self._store.watch(self._prefix, self._rules.revision, WATCH_S)
+            changes = self._store.watch(self._prefix, after, self._watch_s)
         except HistoryLostError:
             self._sink(Count('rules_history_lost'))
             return False
-        self.receive(RulesWatched(changes))
+        self._apply(RulesWatched(changes))
         if changes.written or changes.removed:
             gevent.sleep(COLLECT_S)
         return True
--- a/packages/runtime/src/persimmonreach/runtime/_task.py
+++ b/packages/runtime/src/persimmonreach/runtime/_task.py
@@ -80,6 +80,7 @@
         """Act on elapsed time."""
 
     def _spawn(self, function: Any) -> None:
+        self._greenlets = [known for known in self._greenlets if not known.dead]
         greenlet = gevent.spawn(function)
         greenlet.link_exception(end_process)
         self._greenlets.append(greenlet)
