--- a/packages/daemon/src/persimmonreach/daemon/_agent_parts.py
+++ b/packages/daemon/src/persimmonreach/daemon/_agent_parts.py
@@ -16,7 +16,8 @@
 from persimmonreach.flows import FlowTable
 from persimmonreach.ownership import BucketOwnership, OwnershipSettings
 from persimmonreach.ownership.messages import MESSAGE_TYPES as OWNERSHIP_TYPES
-from persimmonreach.packets import FlowEnds, Ipv4TcpCodec, MsgpackFrameCodec, flow_key
+from persimmonreach.packets import Ipv4TcpCodec, MsgpackFrameCodec
+from persimmonreach.packets.builder import FlowEnds, flow_key
 from persimmonreach.requests import Requests, RequestSettings
 from persimmonreach.requests.messages import MESSAGE_TYPES as REQUEST_TYPES
 from persimmonreach.routing import AgentParts, AgentRouter, AgentState, Codecs
--- a/packages/daemon/src/persimmonreach/daemon/_agent_process.py
+++ b/packages/daemon/src/persimmonreach/daemon/_agent_process.py
@@ -95,6 +95,7 @@
                 self._drain(starter.get())
             starter.kill()
         self._logger.info('stopped')
+        self._logger.close()
 
     def _start_endpoints(self, stack: ExitStack, status: AgentStatusSource) -> PeerTask:
         peers = self._make_peers(self._settings)
--- a/packages/daemon/src/persimmonreach/daemon/_entry_process.py
+++ b/packages/daemon/src/persimmonreach/daemon/_entry_process.py
@@ -73,6 +73,7 @@
             self._logger.info('withdrawing', seconds=_WITHDRAW_S)
             gevent.sleep(_WITHDRAW_S)
         self._logger.info('stopped')
+        self._logger.close()
 
     def _start(self, stack: ExitStack) -> EntryStatusSource:
         peers = self._make_peers(self._settings)
--- a/packages/daemon/src/persimmonreach/daemon/_entry_status.py
+++ b/packages/daemon/src/persimmonreach/daemon/_entry_status.py
@@ -19,7 +19,7 @@
 from persimmonreach.daemon._settings import EntrySettings
 from persimmonreach.membership import EntryMembership
 from persimmonreach.observability.tasks import StatusSource
-from persimmonreach.packets import FlowEnds, flow_key
+from persimmonreach.packets.builder import FlowEnds, flow_key
 from persimmonreach.routing import EntryRouter, RouteExplanation
 from persimmonreach.runtime import Task
 
--- a/packages/daemon/src/persimmonreach/daemon/_process.py
+++ b/packages/daemon/src/persimmonreach/daemon/_process.py
@@ -6,7 +6,7 @@
 from persimmonreach.core import Endpoint, MonotonicClock
 from persimmonreach.daemon._settings import AgentSettings, EntrySettings, shared_keys
 from persimmonreach.daemon._wire import PACKET_TYPES, make_codec
-from persimmonreach.observability import Counters, Dispatcher, configure_logs
+from persimmonreach.observability import Counters, Dispatcher, EventLog
 from persimmonreach.runtime import PeerTask, UdpSocket
 
 
@@ -29,7 +29,7 @@
     ) -> None:
         self._clock = MonotonicClock()
         self._counters = Counters(promised)
-        self._logger = configure_logs(settings.instance)
+        self._logger = EventLog(settings.instance)
         self._dispatcher = Dispatcher(self._counters, self._logger)
         self._host = settings.host
 
--- a/packages/daemon/tests/test_agent_router.py
+++ b/packages/daemon/tests/test_agent_router.py
@@ -27,13 +27,15 @@
     SYN,
     AnswerFrame,
     CancelFrame,
-    FlowEnds,
     ForwardedPacket,
     Ipv4TcpCodec,
     MsgpackFrameCodec,
     Outcome,
     RefusalFrame,
     RequestFrame,
+)
+from persimmonreach.packets.builder import (
+    FlowEnds,
     Segment,
     build_inbound,
     build_outbound,
--- a/packages/daemon/tests/test_decoders.py
+++ b/packages/daemon/tests/test_decoders.py
@@ -16,15 +16,12 @@
 from persimmonreach.packets import (
     ACK,
     PSH,
-    FlowEnds,
     FrameError,
     Ipv4TcpCodec,
     MsgpackFrameCodec,
     PacketError,
-    Segment,
-    build_inbound,
-    flow_key,
 )
+from persimmonreach.packets.builder import FlowEnds, Segment, build_inbound, flow_key
 from persimmonreach.packets.messages import FRAME_TYPES
 from persimmonreach.runtime import EnvelopeError, SharedKey, WireError
 from persimmonreach.runtime._codec import _tag
--- a/packages/flows/src/persimmonreach/flows/_record.py
+++ b/packages/flows/src/persimmonreach/flows/_record.py
@@ -1,12 +1,8 @@
 """What an agent knows of one flow of its backend server."""
 
 from persimmonreach.core import Deliver, FlowKey, Reply
-from persimmonreach.packets import (
-    ACK,
-    FIN,
-    RST,
-    SYN,
-    PacketHeader,
+from persimmonreach.packets import ACK, FIN, RST, SYN, PacketHeader
+from persimmonreach.packets.builder import (
     Segment,
     build_inbound,
     build_outbound,
--- a/packages/flows/tests/test_flow_table.py
+++ b/packages/flows/tests/test_flow_table.py
@@ -14,12 +14,9 @@
     OpenFlow,
     ProbeSettings,
 )
-from persimmonreach.packets import (
-    ACK,
-    FIN,
-    RST,
+from persimmonreach.packets import ACK, FIN, RST, Ipv4TcpCodec
+from persimmonreach.packets.builder import (
     FlowEnds,
-    Ipv4TcpCodec,
     Segment,
     build_inbound,
     build_outbound,
--- a/packages/observability/src/persimmonreach/observability/__init__.py
+++ b/packages/observability/src/persimmonreach/observability/__init__.py
@@ -3,7 +3,7 @@
 from persimmonreach.observability._counters import Counters, CounterSource
 from persimmonreach.observability._dispatch import Dispatcher
 from persimmonreach.observability._figures import TaskFigures, add_counts
-from persimmonreach.observability._logs import configure_logs, log_state_change
+from persimmonreach.observability._logs import EventLog
 from persimmonreach.observability._promises import (
     AGENT_PROMISES,
     ENTRY_PROMISES,
@@ -17,10 +17,9 @@
     'CounterSource',
     'Counters',
     'Dispatcher',
+    'EventLog',
     'Promise',
     'TaskFigures',
     'add_counts',
-    'configure_logs',
-    'log_state_change',
     'promised_counters',
 )
--- a/packages/observability/src/persimmonreach/observability/_counters.py
+++ b/packages/observability/src/persimmonreach/observability/_counters.py
@@ -9,11 +9,6 @@
 from collections.abc import Iterable, Mapping
 from typing import Final
 
-from aioprometheus import Counter as CounterMetric
-from aioprometheus import Gauge as GaugeMetric
-from aioprometheus import Registry
-from aioprometheus.renderer import render
-
 _PREFIX: Final = 'persimmonreach_'
 
 
@@ -60,6 +55,12 @@
 
     def render(self, accept: str) -> tuple[bytes, Mapping[str, str]]:
         """Return all figures in the exposition format, and HTTP headers."""
+        # Imported by the first scrape: a process that starts has no time for it.
+        from aioprometheus import Counter as CounterMetric
+        from aioprometheus import Gauge as GaugeMetric
+        from aioprometheus import Registry
+        from aioprometheus.renderer import render
+
         registry = Registry()
         for name, amount in sorted(self._all_counts().items()):
             metric = CounterMetric(_PREFIX + name, name, registry=registry)
--- a/packages/observability/src/persimmonreach/observability/_dispatch.py
+++ b/packages/observability/src/persimmonreach/observability/_dispatch.py
@@ -2,11 +2,9 @@
 
 from collections.abc import Mapping, Sequence
 
-import structlog
-
 from persimmonreach.core import Action, Count, Decision, StateChange
 from persimmonreach.observability._counters import Counters
-from persimmonreach.observability._logs import log_decision, log_state_change
+from persimmonreach.observability._logs import EventLog
 from persimmonreach.runtime import Task
 
 
@@ -25,7 +23,7 @@
     def __init__(
         self,
         counters: Counters,
-        logger: structlog.typing.FilteringBoundLogger,
+        logger: EventLog,
     ) -> None:
         self._counters = counters
         self._logger = logger
@@ -40,9 +38,9 @@
         if isinstance(action, Count):
             self._counters.add(action.name, action.amount)
         elif isinstance(action, StateChange):
-            log_state_change(self._logger, action)
+            self._logger.note_change(action)
         elif isinstance(action, Decision):
-            log_decision(self._logger, action)
+            self._logger.note_decision(action)
         else:
             for task in self._receivers.get(type(action), ()):
                 task.post(action)
--- a/packages/observability/src/persimmonreach/observability/_logs.py
+++ b/packages/observability/src/persimmonreach/observability/_logs.py
@@ -1,12 +1,13 @@
 """Structured logs: JSON lines on standard output, bounded and never blocking."""
 
-import logging
 import os
+import time
 from collections import Counter, deque
-from typing import Any, Final
+from collections.abc import Mapping
+from datetime import UTC, datetime
+from typing import Any, Final, NamedTuple
 
 import gevent
-import structlog
 from gevent.event import Event
 from gevent.socket import wait_write
 
@@ -16,135 +17,193 @@
 LINES_PER_S: Final = 20
 # Lines that wait for a slow reader; about 300 KB.
 LARGEST_BACKLOG: Final = 1000
+# Importing structlog takes as long as all of the start of a process; callers
+# wait for the start and nobody waits for its log lines.
+RENDER_AFTER_S: Final = 2.0
+# Time that the last lines get when the process ends.
+LAST_LINES_S: Final = 0.5
 _STANDARD_OUTPUT: Final = 1
 
 
-class LineWriter:
-    """Writes lines to a file descriptor without ever blocking its callers.
+class LogLine(NamedTuple):
+    """One line before it is rendered.
 
-    Lines that find the backlog full are left out and counted.
+    Attributes
+    ----------
+    at
+        Wall-clock time in seconds.
+    level
+        Name of the level.
+    event
+        Fixed event name.
+    fields
+        All other fields.
+
+    """
+
+    at: float
+    level: str
+    event: str
+    fields: Mapping[str, Any]
+
+
+class LineLimit:
+    """Leaves out lines of an event that comes too often, and counts them.
+
+    The next line of the event that is written tells how many were left out.
+
+    Parameters
+    ----------
+    per_second
+        Largest number of lines of one event in a second.
+
+    """
+
+    def __init__(self, per_second: int = LINES_PER_S) -> None:
+        self._per_second = per_second
+        self._second = 0
+        self._written: Counter[str] = Counter()
+        self._left_out: Counter[str] = Counter()
+
+    def admit(self, event: str, now: float) -> bool:
+        """Return whether a line of ``event`` is written at ``now``."""
+        second = int(now)
+        if second != self._second:
+            self._second = second
+            self._written.clear()
+        self._written[event] += 1
+        if self._written[event] <= self._per_second:
+            return True
+        self._left_out[event] += 1
+        return False
+
+    def take_left_out(self, event: str) -> int:
+        """Return the lines of ``event`` left out since the last one written."""
+        return self._left_out.pop(event, 0)
+
+
+class EventLog:
+    """Log of one process.
+
+    Callers only append to a bounded queue; a greenlet renders and writes the
+    lines. Lines that find the queue full are left out and counted.
 
     Parameters
     ----------
+    instance
+        Name of the instance, written with each line.
     descriptor
-        File descriptor; set to non-blocking.
-    backlog
-        Largest number of waiting lines.
+        File descriptor that takes the lines; set to non-blocking.
+    render_after_s
+        Seconds before the first line is rendered.
 
     """
 
     def __init__(
         self,
+        instance: str,
         descriptor: int = _STANDARD_OUTPUT,
-        backlog: int = LARGEST_BACKLOG,
+        render_after_s: float = RENDER_AFTER_S,
     ) -> None:
+        self._instance = instance
         self._descriptor = descriptor
-        self._backlog = backlog
-        self._lines: deque[bytes] = deque()
+        self._limit = LineLimit()
+        self._lines: deque[LogLine] = deque()
         self._filled = Event()
         self._dropped = 0
+        self._logger: Any = None
         os.set_blocking(descriptor, False)
-        gevent.spawn(self._drain)
+        self._greenlet = gevent.spawn_later(render_after_s, self._drain)
 
     @property
     def dropped(self) -> int:
         """Lines left out because the reader is too slow."""
         return self._dropped
 
-    def write(self, line: str) -> None:
-        """Write a line, with its end, soon."""
-        if len(self._lines) >= self._backlog:
+    def info(self, event: str, **fields: Any) -> None:
+        """Write a line of ordinary level."""
+        self._append('info', event, fields)
+
+    def warning(self, event: str, **fields: Any) -> None:
+        """Write a line about something that an operator should see."""
+        self._append('warning', event, fields)
+
+    def note_change(self, change: StateChange) -> None:
+        """Write one line for a change of state."""
+        self.info(change.event, subject=change.subject, detail=change.detail)
+
+    def note_decision(self, decision: Decision) -> None:
+        """Write one line for a decision about a flow."""
+        self.info(
+            decision.event,
+            flow=decision.flow.hex(),
+            outcome=decision.outcome,
+            **decision.inputs,
+        )
+
+    def close(self) -> None:
+        """Write what is left, as far as the reader takes it in time."""
+        self._greenlet.kill()
+        with gevent.Timeout(LAST_LINES_S, exception=False):
+            self._write_all()
+
+    def _append(self, level: str, event: str, fields: dict[str, Any]) -> None:
+        now = time.time()
+        if not self._limit.admit(event, now):
+            return
+        left_out = self._limit.take_left_out(event)
+        if left_out:
+            fields['left_out'] = left_out
+        if len(self._lines) >= LARGEST_BACKLOG:
             self._dropped += 1
             return
-        self._lines.append(line.encode())
+        self._lines.append(LogLine(now, level, event, fields))
         self._filled.set()
 
-    def flush(self) -> None:
-        """Do nothing: lines are written by a greenlet of the writer."""
-
     def _drain(self) -> None:
         while True:
             self._filled.wait()
-            while self._lines:
-                self._write(self._lines[0])
-                self._lines.popleft()
             self._filled.clear()
+            self._write_all()
+
+    def _write_all(self) -> None:
+        if self._logger is None:
+            self._logger = self._make_logger()
+        while self._lines:
+            line = self._lines.popleft()
+            at = datetime.fromtimestamp(line.at, UTC).isoformat(timespec='milliseconds')
+            write = getattr(self._logger, line.level)
+            write(line.event, timestamp=at, instance=self._instance, **line.fields)
+
+    def _make_logger(self) -> Any:
+        # Imported when the first line is rendered, see RENDER_AFTER_S.
+        import structlog
+
+        return structlog.wrap_logger(
+            structlog.WriteLogger(_Descriptor(self._descriptor)),
+            processors=[
+                structlog.processors.add_log_level,
+                structlog.processors.JSONRenderer(default=str),
+            ],
+        )
+
+
+class _Descriptor:
+    """File that lets other greenlets run while its reader is slow."""
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
 
-    def _write(self, line: bytes) -> None:
-        while line:
+    def write(self, text: str) -> None:
+        """Write all of ``text``."""
+        rest = text.encode()
+        while rest:
             try:
-                line = line[os.write(self._descriptor, line) :]
+                written = os.write(self._descriptor, rest)
             except BlockingIOError:
                 wait_write(self._descriptor)
+            else:
+                rest = rest[written:]
 
-
-class LineLimit:
-    """Leaves out lines of an event that comes too often, and counts them.
-
-    The next line of the event that is written tells how many were left out.
-    """
-
-    def __init__(self, per_second: int = LINES_PER_S) -> None:
-        self._per_second = per_second
-        self._second = 0
-        self._written: Counter[str] = Counter()
-        self._left_out: Counter[str] = Counter()
-
-    def __call__(self, logger: Any, method: str, line: dict[str, Any]) -> dict[str, Any]:
-        """Return ``line``, or drop it."""
-        event = line['event']
-        second = int(line.pop('at'))
-        if second != self._second:
-            self._second = second
-            self._written.clear()
-        self._written[event] += 1
-        if self._written[event] > self._per_second:
-            self._left_out[event] += 1
-            raise structlog.DropEvent
-        left_out = self._left_out.pop(event, 0)
-        if left_out:
-            line['left_out'] = left_out
-        return line
-
-
-def _add_time(logger: Any, method: str, line: dict[str, Any]) -> dict[str, Any]:
-    line['at'] = gevent.get_hub().loop.now()
-    return line
-
-
-def configure_logs(instance: str) -> structlog.typing.FilteringBoundLogger:
-    """Send JSON lines to standard output and return the process's logger."""
-    structlog.configure(
-        processors=[
-            _add_time,
-            LineLimit(),
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt='iso', utc=True),
-            structlog.processors.JSONRenderer(),
-        ],
-        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.WriteLoggerFactory(LineWriter()),
-        cache_logger_on_first_use=True,
-    )
-    return structlog.get_logger().bind(instance=instance)
-
-
-def log_state_change(
-    logger: structlog.typing.FilteringBoundLogger,
-    change: StateChange,
-) -> None:
-    """Write one line for a change of state."""
-    logger.info(change.event, subject=change.subject, detail=change.detail)
-
-
-def log_decision(
-    logger: structlog.typing.FilteringBoundLogger,
-    decision: Decision,
-) -> None:
-    """Write one line for a decision about a flow."""
-    logger.info(
-        decision.event,
-        flow=decision.flow.hex(),
-        outcome=decision.outcome,
-        **decision.inputs,
-    )
+    def flush(self) -> None:
+        """Do nothing: nothing is buffered."""
--- a/packages/observability/src/persimmonreach/observability/_signals.py
+++ b/packages/observability/src/persimmonreach/observability/_signals.py
@@ -4,9 +4,10 @@
 from typing import Any
 
 import gevent
-import structlog
 from gevent.event import Event
 
+from persimmonreach.observability._logs import EventLog
+
 
 class StopSignal:
     """Set by SIGTERM or SIGINT.
@@ -22,7 +23,7 @@
 
     """
 
-    def __init__(self, logger: structlog.typing.FilteringBoundLogger) -> None:
+    def __init__(self, logger: EventLog) -> None:
         self._event = Event()
         self._logger = logger
         self._handlers: list[Any] = [
--- a/packages/packets/src/persimmonreach/packets/__init__.py
+++ b/packages/packets/src/persimmonreach/packets/__init__.py
@@ -1,16 +1,5 @@
 """IPv4 and TCP header codec, frames, and packets between own processes."""
 
-from persimmonreach.packets._builder import (
-    FlowEnds,
-    Segment,
-    build_inbound,
-    build_outbound,
-    build_reset,
-    flow_ends,
-    flow_key,
-    is_flow_key,
-    previous_sequence,
-)
 from persimmonreach.packets._format import LABEL_BYTES, PacketFormat
 from persimmonreach.packets._frames import (
     FrameCodec,
@@ -46,7 +35,6 @@
     'SYN',
     'AnswerFrame',
     'CancelFrame',
-    'FlowEnds',
     'ForwardedPacket',
     'FrameCodec',
     'FrameError',
@@ -60,13 +48,5 @@
     'PacketHeader',
     'RefusalFrame',
     'RequestFrame',
-    'Segment',
     'UnknownFrameError',
-    'build_inbound',
-    'build_outbound',
-    'build_reset',
-    'flow_ends',
-    'flow_key',
-    'is_flow_key',
-    'previous_sequence',
 )
--- a/packages/packets/tests/test_packets.py
+++ b/packages/packets/tests/test_packets.py
@@ -9,12 +9,14 @@
     ACK,
     PSH,
     SYN,
-    FlowEnds,
     FrameError,
     Ipv4TcpCodec,
     MsgpackFrameCodec,
     PacketError,
     RequestFrame,
+)
+from persimmonreach.packets.builder import (
+    FlowEnds,
     Segment,
     build_inbound,
     build_outbound,
--- a/packages/platform/src/persimmonreach/platform/_links.py
+++ b/packages/platform/src/persimmonreach/platform/_links.py
@@ -81,13 +81,14 @@
 
     def probe(self) -> bool | None:
         """Return whether the backend server accepts connections."""
-        try:
-            connection = socket.create_connection(self._backend, PROBE_TIMEOUT_S)
-        except ConnectionError:
-            return False
-        except OSError:
-            return None
-        connection.close()
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as connection:
+            connection.settimeout(PROBE_TIMEOUT_S)
+            try:
+                connection.connect(tuple(self._backend))
+            except ConnectionError:
+                return False
+            except OSError:
+                return None
         return True
 
     def close(self) -> None:
--- a/packages/platform/src/persimmonreach/platform/_process.py
+++ b/packages/platform/src/persimmonreach/platform/_process.py
@@ -17,7 +17,7 @@
 from persimmonreach.forwarding.tasks import ForwardingTask
 from persimmonreach.lookup import PacketReturned, QueriedPacket
 from persimmonreach.lookup.messages import MESSAGE_TYPES as LOOKUP_TYPES
-from persimmonreach.observability import Counters, Dispatcher, TaskFigures, configure_logs
+from persimmonreach.observability import Counters, Dispatcher, EventLog, TaskFigures
 from persimmonreach.observability.tasks import HttpEndpoint, StatusSource, StopSignal
 from persimmonreach.placement import FirstPacket
 from persimmonreach.placement.messages import MESSAGE_TYPES as PLACEMENT_TYPES
@@ -49,7 +49,7 @@
         self._process = settings
         self._clock = MonotonicClock()
         self._counters = Counters()
-        self._logger = configure_logs(settings.instance)
+        self._logger = EventLog(settings.instance)
         self._dispatcher = Dispatcher(self._counters, self._logger)
         self._random = random.SystemRandom()
 
@@ -63,6 +63,7 @@
             self._logger.info('stopping')
             self._stop()
         self._logger.info('stopped')
+        self._logger.close()
 
     @abstractmethod
     def _start(self, stack: ExitStack) -> None:
--- a/packages/platform/src/persimmonreach/platform/_store.py
+++ b/packages/platform/src/persimmonreach/platform/_store.py
@@ -1,16 +1,12 @@
 """Client of the platform's store."""
 
-import json
 from base64 import b64decode, b64encode
-from http import HTTPStatus
-from types import MappingProxyType
-from typing import Any, Final, NamedTuple
+from http import HTTPMethod, HTTPStatus
+from typing import Any, Final
 from urllib.parse import quote
 
-from geventhttpclient import HTTPClient
-from geventhttpclient.response import HTTPParseError
-
 from persimmonreach.core import Endpoint
+from persimmonreach.platform._http import Answer, HttpCalls
 from persimmonreach.store import (
     ANY_REVISION,
     Changes,
@@ -28,18 +24,10 @@
 # The slowest days of the platform answer in about 0.4 s; a connection that has
 # gone silent is noticed after this time.
 CALL_TIMEOUT_S: Final = 1.0
-# Added to the wait of a watch.
-WATCH_SLACK_S: Final = 1.0
 _MS_PER_S: Final = 1000
 _UNAVAILABLE: Final = frozenset(
     (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS),
 )
-_HEADERS: Final = MappingProxyType({'Content-Type': 'application/json'})
-
-
-class _Answer(NamedTuple):
-    status: int
-    body: Any
 
 
 class PlatformStore(Store):
@@ -53,14 +41,11 @@
     """
 
     def __init__(self, endpoint: Endpoint) -> None:
-        self._endpoint = endpoint
-        self._calls = _Connection(endpoint, CALL_TIMEOUT_S)
-        self._watches = _Connection(endpoint, CALL_TIMEOUT_S)
+        self._http = HttpCalls(endpoint, CALL_TIMEOUT_S)
 
     def close(self) -> None:
         """Close the connections."""
-        self._calls.close()
-        self._watches.close()
+        self._http.close()
 
     def get(self, key: str) -> StoreValue | None:
         """Return the key, or nothing if it does not exist."""
@@ -98,19 +83,21 @@
 
     def grant_lease(self, ttl_s: float) -> int:
         """Return a new lease that lasts ``ttl_s`` seconds."""
-        answer = self._write('POST', '/kv-lease', {'ttlMs': int(ttl_s * _MS_PER_S)})
+        answer = self._http.call(
+            HTTPMethod.POST, '/kv-lease', {'ttlMs': int(ttl_s * _MS_PER_S)}
+        )
         return _expect_ok(answer).body['lease']
 
     def keep_alive(self, lease: int) -> None:
         """Renew a lease."""
-        answer = self._write('POST', f'/kv-keep/{lease}', {})
+        answer = self._http.call(HTTPMethod.POST, f'/kv-keep/{lease}', {})
         if answer.status == HTTPStatus.NOT_FOUND:
             raise LeaseLostError(f'lease {lease}')
         _expect_ok(answer)
 
     def end_lease(self, lease: int) -> None:
         """End a lease and remove its keys."""
-        answer = self._write('DELETE', f'/kv-lease-end/{lease}', None)
+        answer = self._http.call(HTTPMethod.DELETE, f'/kv-lease-end/{lease}')
         if answer.status != HTTPStatus.NOT_FOUND:
             _expect_ok(answer)
 
@@ -119,7 +106,7 @@
         wait_ms = int(timeout_s * _MS_PER_S)
         name = quote(prefix, safe='')
         path = f'/kv-watch?prefix={name}&after={after}&waitMs={wait_ms}'
-        answer = self._read(path, timeout_s + WATCH_SLACK_S)
+        answer = self._read(path, timeout_s)
         if answer.status == HTTPStatus.GONE:
             raise HistoryLostError(f'changes after {after}')
         body = _expect_ok(answer).body
@@ -137,102 +124,25 @@
 
     def _change(self, compared: list[Any], items: list[Any], removed: list[str]) -> int:
         body = {'expected': compared, 'setKeys': items, 'remove': removed}
-        answer = self._write('POST', '/kv-txn', body)
+        answer = self._http.call(HTTPMethod.POST, '/kv-txn', body)
         if answer.status == HTTPStatus.PRECONDITION_FAILED:
             raise CompareFailedError(str(compared))
         if answer.status == HTTPStatus.NOT_FOUND:
             raise LeaseLostError(str(items))
         return _expect_ok(answer).body['revision']
 
-    def _read(self, path: str, timeout_s: float | None = None) -> _Answer:
-        connection = self._calls if timeout_s is None else self._watches
+    def _read(self, path: str, extra_wait_s: float = 0) -> Answer:
         try:
-            return connection.call('GET', path, None, timeout_s)
+            return self._http.call(HTTPMethod.GET, path, extra_wait_s=extra_wait_s)
         except StoreUncertainError as error:
             raise StoreUnavailableError(str(error)) from error
 
-    def _write(self, method: str, path: str, body: Any) -> _Answer:
-        return self._calls.call(method, path, body)
-
-
-class _Connection:
-    """One client, replaced after each failure: its connection may be silent."""
-
-    def __init__(self, endpoint: Endpoint, timeout_s: float) -> None:
-        self._endpoint = endpoint
-        self._timeout_s = timeout_s
-        self._clients: dict[float, HTTPClient] = {}
-
-    def close(self) -> None:
-        """Close the connections."""
-        for client in self._clients.values():
-            client.close()
-        self._clients.clear()
-
-    def call(
-        self,
-        method: str,
-        path: str,
-        body: Any,
-        timeout_s: float | None = None,
-    ) -> _Answer:
-        """Make one call.
-
-        Raises
-        ------
-        StoreUnavailableError
-            If nothing was sent.
-        StoreUncertainError
-            If the answer was lost.
-
-        """
-        wait_s = timeout_s or self._timeout_s
-        content = None if body is None else json.dumps(body).encode()
-        try:
-            return self._exchange(self._client(wait_s), method, path, content)
-        except ConnectionRefusedError as error:
-            self._drop(wait_s)
-            raise StoreUnavailableError(f'{method} {path}: {error}') from error
-        except (OSError, HTTPParseError, ValueError) as error:
-            self._drop(wait_s)
-            raise StoreUncertainError(f'{method} {path}: {error!r}') from error
-
-    def _client(self, wait_s: float) -> HTTPClient:
-        client = self._clients.get(wait_s)
-        if client is None:
-            client = HTTPClient(
-                self._endpoint.host,
-                port=self._endpoint.port,
-                connection_timeout=self._timeout_s,
-                network_timeout=wait_s,
-                concurrency=2,
-            )
-            self._clients[wait_s] = client
-        return client
-
-    def _drop(self, wait_s: float) -> None:
-        client = self._clients.pop(wait_s, None)
-        if client is not None:
-            client.close()
-
-    def _exchange(
-        self,
-        client: HTTPClient,
-        method: str,
-        path: str,
-        content: bytes | None,
-    ) -> _Answer:
-        headers = {} if content is None else _HEADERS
-        response = client.request(method, path, content or b'', headers)
-        answer = response.read()
-        return _Answer(response.status_code, json.loads(answer) if answer else None)
-
 
 def _compare(key: str, revision: int) -> dict[str, Any]:
     return {'key': key, 'revision': revision}
 
 
-def _expect_ok(answer: _Answer) -> _Answer:
+def _expect_ok(answer: Answer) -> Answer:
     if answer.status == HTTPStatus.OK:
         return answer
     if answer.status in _UNAVAILABLE:
--- a/packages/proof/src/persimmonreach/proof/_agent_parts.py
+++ b/packages/proof/src/persimmonreach/proof/_agent_parts.py
@@ -13,7 +13,8 @@
 from persimmonreach.core import AgentId, Endpoint, Zone
 from persimmonreach.flows import FlowTable
 from persimmonreach.ownership import BucketOwnership
-from persimmonreach.packets import FlowEnds, Ipv4TcpCodec, MsgpackFrameCodec, flow_key
+from persimmonreach.packets import Ipv4TcpCodec, MsgpackFrameCodec
+from persimmonreach.packets.builder import FlowEnds, flow_key
 from persimmonreach.proof._settings import Switches
 from persimmonreach.requests import Requests, RequestSettings
 from persimmonreach.routing import AgentParts, AgentState, Codecs
--- a/packages/proof/src/persimmonreach/proof/_backends.py
+++ b/packages/proof/src/persimmonreach/proof/_backends.py
@@ -20,11 +20,8 @@
     PacketHeader,
     RefusalFrame,
     RequestFrame,
-    Segment,
-    build_outbound,
-    build_reset,
-    flow_ends,
 )
+from persimmonreach.packets.builder import Segment, build_outbound, build_reset, flow_ends
 from persimmonreach.proof._journal import Journal, RunRow
 from persimmonreach.proof._network import Scheduler
 from persimmonreach.proof._settings import COLD_NOTICE_S
--- a/packages/proof/src/persimmonreach/proof/_callers.py
+++ b/packages/proof/src/persimmonreach/proof/_callers.py
@@ -6,7 +6,8 @@
 from typing import Any, Final
 
 from persimmonreach.core import Endpoint, FlowKey, Tick
-from persimmonreach.packets import FlowEnds, Ipv4TcpCodec, flow_key
+from persimmonreach.packets import Ipv4TcpCodec
+from persimmonreach.packets.builder import FlowEnds, flow_key
 from persimmonreach.proof._journal import Journal, flow_label, request_label
 from persimmonreach.proof._network import Scheduler
 from persimmonreach.standins._caller_events import (
--- a/packages/proof/src/persimmonreach/proof/bench_inputs.py
+++ b/packages/proof/src/persimmonreach/proof/bench_inputs.py
@@ -16,7 +16,7 @@
 )
 from persimmonreach.membership import Member, MembershipSettings, MemberState, View
 from persimmonreach.membership._table import digest_members
-from persimmonreach.packets import FlowEnds, Segment, build_inbound, flow_key
+from persimmonreach.packets.builder import FlowEnds, Segment, build_inbound, flow_key
 
 SERVICES: Final = 1400
 AGENTS: Final = 5700
--- a/packages/proof/src/persimmonreach/proof/bench_node.py
+++ b/packages/proof/src/persimmonreach/proof/bench_node.py
@@ -16,7 +16,8 @@
 from persimmonreach.membership import Member
 from persimmonreach.ownership import BucketOwnership, OwnershipSettings
 from persimmonreach.ownership.messages import MESSAGE_TYPES as OWNERSHIP_TYPES
-from persimmonreach.packets import FlowEnds, Ipv4TcpCodec, MsgpackFrameCodec, flow_key
+from persimmonreach.packets import Ipv4TcpCodec, MsgpackFrameCodec
+from persimmonreach.packets.builder import FlowEnds, flow_key
 from persimmonreach.proof.bench_inputs import make_member, make_services
 from persimmonreach.requests import Requests, RequestSettings
 from persimmonreach.requests.messages import MESSAGE_TYPES as REQUEST_TYPES
--- a/packages/routing/src/persimmonreach/routing/_agent.py
+++ b/packages/routing/src/persimmonreach/routing/_agent.py
@@ -24,7 +24,8 @@
     ViewConfirmed,
 )
 from persimmonreach.ownership import LocalFlowsAdopted, PacketArrived
-from persimmonreach.packets import ForwardedPacket, PacketError, is_flow_key
+from persimmonreach.packets import ForwardedPacket, PacketError
+from persimmonreach.packets.builder import is_flow_key
 from persimmonreach.requests import BackendLost, DrainStarted, StopRequested
 from persimmonreach.routing._agent_events import (
     BackendPacketArrived,
--- a/packages/routing/src/persimmonreach/routing/_packet_path.py
+++ b/packages/routing/src/persimmonreach/routing/_packet_path.py
@@ -19,11 +19,9 @@
     PacketHeader,
     RefusalFrame,
     RequestFrame,
-    Segment,
     UnknownFrameError,
-    build_inbound,
-    build_outbound,
 )
+from persimmonreach.packets.builder import Segment, build_inbound, build_outbound
 from persimmonreach.requests import (
     BackendAnswered,
     BackendRefused,
--- a/packages/routing/src/persimmonreach/routing/_translation.py
+++ b/packages/routing/src/persimmonreach/routing/_translation.py
@@ -20,13 +20,8 @@
     ResetCaller,
     ResetFlow,
 )
-from persimmonreach.packets import (
-    ACK,
-    PacketHeader,
-    Segment,
-    build_outbound,
-    build_reset,
-)
+from persimmonreach.packets import ACK, PacketHeader
+from persimmonreach.packets.builder import Segment, build_outbound, build_reset
 from persimmonreach.requests import CancelAttempt, FlowEnded, ReplyFrame, RunAttempt
 from persimmonreach.routing._packet_path import PacketPath
 from persimmonreach.routing._parts import AgentParts, report_flows
--- a/packages/routing/tests/test_entry_pause.py
+++ b/packages/routing/tests/test_entry_pause.py
@@ -9,14 +9,8 @@
 )
 from persimmonreach.core import Endpoint, ServiceId, Tick, Zone
 from persimmonreach.membership import Member, MemberState, View, ViewChanged
-from persimmonreach.packets import (
-    SYN,
-    FlowEnds,
-    Ipv4TcpCodec,
-    Segment,
-    build_inbound,
-    flow_key,
-)
+from persimmonreach.packets import SYN, Ipv4TcpCodec
+from persimmonreach.packets.builder import FlowEnds, Segment, build_inbound, flow_key
 from persimmonreach.routing import EntryRouter, Forward, RouteDropped
 
 SERVICE = ServiceConfig(ServiceId(1), 'counter', Endpoint('10.9.0.1', 80), 3)
--- a/packages/standins/src/persimmonreach/standins/_backend_task.py
+++ b/packages/standins/src/persimmonreach/standins/_backend_task.py
@@ -23,10 +23,8 @@
     PacketHeader,
     RefusalFrame,
     RequestFrame,
-    Segment,
-    build_outbound,
-    build_reset,
 )
+from persimmonreach.packets.builder import Segment, build_outbound, build_reset
 from persimmonreach.runtime import Task, UdpSocket
 from persimmonreach.standins._answers import answer_to, split_answer
 from persimmonreach.standins._backend_journal import (
--- a/packages/standins/src/persimmonreach/standins/_caller_flow.py
+++ b/packages/standins/src/persimmonreach/standins/_caller_flow.py
@@ -18,8 +18,8 @@
     PacketError,
     PacketHeader,
     RefusalFrame,
-    build_inbound,
 )
+from persimmonreach.packets.builder import build_inbound
 from persimmonreach.standins._call import (
     ID_BYTES,
     RETRANSMIT_PERIOD_S,
--- a/packages/standins/src/persimmonreach/standins/_caller_task.py
+++ b/packages/standins/src/persimmonreach/standins/_caller_task.py
@@ -7,12 +7,8 @@
 import gevent
 
 from persimmonreach.core import Clock, Endpoint, FlowKey, StateMachine, Tick
-from persimmonreach.packets import (
-    FlowEnds,
-    Ipv4TcpCodec,
-    PacketError,
-    flow_key,
-)
+from persimmonreach.packets import Ipv4TcpCodec, PacketError
+from persimmonreach.packets.builder import FlowEnds, flow_key
 from persimmonreach.runtime import Task, UdpSocket
 from persimmonreach.standins._caller_events import (
     Close,
--- a/packages/standins/src/persimmonreach/standins/_endpoint.py
+++ b/packages/standins/src/persimmonreach/standins/_endpoint.py
@@ -2,7 +2,8 @@
 
 from typing import Final
 
-from persimmonreach.packets import ACK, FIN, RST, SYN, PacketHeader, Segment
+from persimmonreach.packets import ACK, FIN, RST, SYN, PacketHeader
+from persimmonreach.packets.builder import Segment
 
 _MODULUS: Final = 0x100000000
 # Receive window; a segment beyond it moves no number (RFC 9293, 3.10.7.4).
--- a/packages/standins/tests/test_caller_flow.py
+++ b/packages/standins/tests/test_caller_flow.py
@@ -12,16 +12,13 @@
     RST,
     SYN,
     AnswerFrame,
-    FlowEnds,
     Ipv4TcpCodec,
     MsgpackFrameCodec,
     Outcome,
     RefusalFrame,
     RequestFrame,
-    Segment,
-    build_outbound,
-    flow_key,
 )
+from persimmonreach.packets.builder import FlowEnds, Segment, build_outbound, flow_key
 from persimmonreach.standins._caller_events import (
     Ended,
     FlowPlan,
--- a/packages/standins/tests/test_parts.py
+++ b/packages/standins/tests/test_parts.py
@@ -6,12 +6,9 @@
 import pytest
 
 from persimmonreach.core import Endpoint
-from persimmonreach.packets import (
-    ACK,
-    PSH,
-    SYN,
+from persimmonreach.packets import ACK, PSH, SYN, Ipv4TcpCodec
+from persimmonreach.packets.builder import (
     FlowEnds,
-    Ipv4TcpCodec,
     Segment,
     build_inbound,
     build_outbound,
