--- a/packages/cli/src/persimmonreach/cli/_base.py
+++ b/packages/cli/src/persimmonreach/cli/_base.py
@@ -35,11 +35,10 @@
     Plan,
     Publisher,
     PublisherSettings,
-    Store,
-    StoreError,
     Timing,
 )
 from persimmonreach.core import Endpoint, FindingsError
+from persimmonreach.store import Store, StoreError
 
 STORE_VARIABLE: Final = 'PERSIMMONREACH_STORE'
 CONTROL_VARIABLE: Final = 'PERSIMMONREACH_CONTROL'
--- a/packages/cli/src/persimmonreach/cli/_exit.py
+++ b/packages/cli/src/persimmonreach/cli/_exit.py
@@ -8,9 +8,9 @@
     Accepted,
     Outcome,
     Rejected,
-    StoreError,
 )
 from persimmonreach.core import FindingsError
+from persimmonreach.store import StoreError
 
 
 class ExitCode(IntEnum):
--- a/packages/cli/src/persimmonreach/cli/_picture.py
+++ b/packages/cli/src/persimmonreach/cli/_picture.py
@@ -5,7 +5,7 @@
 
 from persimmonreach.control import Answer, MemberReport, MemberStatus, StatusReply
 
-_STATES: Final = ('joining', 'active', 'draining', 'left')
+_STATES: Final = ('joining', 'down', 'active', 'draining', 'left')
 
 
 class Picture(NamedTuple):
--- a/packages/cli/src/persimmonreach/cli/_status.py
+++ b/packages/cli/src/persimmonreach/cli/_status.py
@@ -145,7 +145,7 @@
     head = f'  {row.service} {row.agent} {row.zone}: {state}'
     report = row.report
     if report is None:
-        return f'{head}, no heartbeat at the entry instances asked'
+        return f'{head}, not heard by the entry instances asked'
     flows = f'{report.flows} of {report.flow_limit} flows'
     if state == 'draining':
         flows = f'{report.flows} flows left'
@@ -154,7 +154,7 @@
 
 def _route_lines(reply: ExplainReply) -> Iterable[str]:
     if reply.service:
-        yield f'Service {reply.service}, bucket {reply.bucket}.'
+        yield f'Service {reply.service}.'
     if reply.agent:
         yield f'Goes to agent {reply.agent} in {reply.zone}.'
     yield f'Reason: {reply.reason}.'
--- a/packages/cli/src/persimmonreach/cli/_tools.py
+++ b/packages/cli/src/persimmonreach/cli/_tools.py
@@ -4,10 +4,10 @@
 from collections.abc import Callable
 from typing import NamedTuple, TypeAlias
 
-from persimmonreach.configuration import Store
-from persimmonreach.configuration.adapters import HttpStore
 from persimmonreach.control.adapters import EntryCalls, GrpcEntryCalls
 from persimmonreach.core import Clock, Endpoint, MonotonicClock
+from persimmonreach.platform.store import PlatformStore
+from persimmonreach.store import Store
 
 
 class Waited(NamedTuple):
@@ -57,7 +57,7 @@
 
     """
 
-    store_factory: Callable[[Endpoint], Store] = HttpStore
+    store_factory: Callable[[Endpoint], Store] = PlatformStore
     calls: EntryCalls = GrpcEntryCalls()
     clock: Clock = MonotonicClock()
     pause: Callable[[float], None] = time.sleep
--- a/packages/cli/src/persimmonreach/cli/_waiting.py
+++ b/packages/cli/src/persimmonreach/cli/_waiting.py
@@ -74,7 +74,7 @@
                 f'entry instance {entry}: registered, but not heard'
                 for entry in picture.not_heard
             ),
-            *(f'agent {agent}: no heartbeat at those asked' for agent in agents),
+            *(f'agent {agent}: not heard by those asked' for agent in agents),
         ),
     )
 
--- a/packages/cli/src/persimmonreach/cli/_zones.py
+++ b/packages/cli/src/persimmonreach/cli/_zones.py
@@ -18,9 +18,10 @@
 from persimmonreach.cli._exit import CANCELLED, ExitCode, Report
 from persimmonreach.cli._override import override_zone
 from persimmonreach.cli._picture import make_picture
-from persimmonreach.configuration import Plan, Publisher, StoreUnavailableError
+from persimmonreach.configuration import Plan, Publisher
 from persimmonreach.control import StatusRequest, ZoneRequest
 from persimmonreach.core import Zone
+from persimmonreach.store import StoreUnavailableError
 
 _ZONE: Final = argument('zone', 'Name of the availability zone')
 _ID_BYTES: Final = 8
--- a/packages/configuration/src/persimmonreach/configuration/_audit.py
+++ b/packages/configuration/src/persimmonreach/configuration/_audit.py
@@ -5,7 +5,7 @@
 from typing import Final, NamedTuple
 
 from persimmonreach.configuration._head import Head
-from persimmonreach.configuration._store import ANY_REVISION, Store, StoreError
+from persimmonreach.store import ANY_REVISION, Store, StoreError
 
 AUDIT_PREFIX: Final = 'audit/'
 # One day of changes at full size; the oldest records are deleted first.
@@ -68,14 +68,14 @@
     return (*difference[:_SUMMARY_LINES], f'and {more} more')
 
 
-def encode_record(record: AuditRecord) -> str:
+def encode_record(record: AuditRecord) -> bytes:
     """Return the value for the store."""
-    return json.dumps(record._asdict())
+    return json.dumps(record._asdict()).encode()
 
 
-def decode_record(text: str) -> AuditRecord:
+def decode_record(content: bytes) -> AuditRecord:
     """Return the record in a value of the store."""
-    fields = json.loads(text)
+    fields = json.loads(content)
     result = AuditResult(fields.pop('result'))
     summary = tuple(fields.pop('summary'))
     return AuditRecord(result=result, summary=summary, **fields)
@@ -117,7 +117,7 @@
         return
 
 
-def _write_and_trim(store: Store, key: str, value: str) -> None:
+def _write_and_trim(store: Store, key: str, value: bytes) -> None:
     store.put(key, value, ANY_REVISION)
     listing = store.list_prefix(AUDIT_PREFIX)
     for row in listing.rows[:-AUDIT_RECORDS_KEPT]:
--- a/packages/configuration/src/persimmonreach/configuration/_plan.py
+++ b/packages/configuration/src/persimmonreach/configuration/_plan.py
@@ -4,16 +4,15 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from persimmonreach.configuration._declarations import Declarations
 from persimmonreach.configuration._head import (
     Head,
     HeadService,
-    ZoneState,
     encode_service,
     merge_zones,
 )
-from persimmonreach.configuration._model import ServiceConfig
+from persimmonreach.configuration._model import Declarations, ServiceConfig
 from persimmonreach.core import Finding, FindingError, FindingsError, ServiceId, Zone
+from persimmonreach.rules import ZoneState
 
 
 class Base(NamedTuple):
@@ -56,7 +55,7 @@
     publish: str
     base: Base
     head: Head
-    writes: tuple[tuple[str, str], ...] = ()
+    writes: tuple[tuple[str, bytes], ...] = ()
     difference: tuple[str, ...] = ()
 
 
--- a/packages/configuration/src/persimmonreach/configuration/_publisher.py
+++ b/packages/configuration/src/persimmonreach/configuration/_publisher.py
@@ -11,14 +11,13 @@
     finish_record,
     summarize,
 )
-from persimmonreach.configuration._declarations import Declarations
 from persimmonreach.configuration._head import (
     HEAD_KEY,
     SERVICES_PREFIX,
     Head,
-    ZoneState,
     encode_head,
 )
+from persimmonreach.configuration._model import Declarations
 from persimmonreach.configuration._plan import (
     Base,
     Plan,
@@ -27,7 +26,9 @@
     plan_zone,
 )
 from persimmonreach.configuration._reading import read_base, read_head
-from persimmonreach.configuration._store import (
+from persimmonreach.core import Clock, Zone
+from persimmonreach.rules import ZoneState
+from persimmonreach.store import (
     ABSENT,
     CompareFailedError,
     Store,
@@ -35,7 +36,6 @@
     StoreUnavailableError,
     StoreUncertainError,
 )
-from persimmonreach.core import Clock, Zone
 
 _RETRY_PAUSE_S: Final = 0.2
 _PUBLISH_ID_BYTES: Final = 8
@@ -233,7 +233,7 @@
             summarize(plan.difference),
         )
 
-    def _write_once(self, key: str, value: str, deadline: float) -> None:
+    def _write_once(self, key: str, value: bytes, deadline: float) -> None:
         while True:
             try:
                 self._store.put(key, value, ABSENT)
@@ -258,7 +258,7 @@
             return self._settle(plan, value, deadline)
         return Accepted(plan.head.version)
 
-    def _settle(self, plan: Plan, value: str, deadline: float) -> Outcome:
+    def _settle(self, plan: Plan, value: bytes, deadline: float) -> Outcome:
         """Repeat the write, which can apply only once, until it is settled."""
         unsettled = Unsettled(plan.publish, plan.base.head.version, plan.head.version)
         while self._timing.clock.now() < deadline:
--- a/packages/configuration/src/persimmonreach/configuration/_reading.py
+++ b/packages/configuration/src/persimmonreach/configuration/_reading.py
@@ -11,7 +11,7 @@
 )
 from persimmonreach.configuration._model import ServiceConfig
 from persimmonreach.configuration._plan import Base
-from persimmonreach.configuration._store import Store, StoreContentError
+from persimmonreach.store import Store, StoreContentError
 
 # Above this, one listing of all services is cheaper than single reads.
 _SINGLE_READS: Final = 20
--- /dev/null
+++ b/packages/configuration/src/persimmonreach/configuration/_source.py
@@ -0,0 +1,78 @@
+"""Published configuration as rules for traffic."""
+
+from typing import Final
+
+from persimmonreach.configuration._head import HEAD_KEY
+from persimmonreach.configuration._model import ServiceConfig
+from persimmonreach.configuration._plan import Base
+from persimmonreach.configuration._reading import ConfigurationReader
+from persimmonreach.core import ServiceName
+from persimmonreach.rules import (
+    Route,
+    RulesListed,
+    RulesSource,
+    ServiceLimits,
+    Target,
+    TrafficRules,
+)
+from persimmonreach.store import Changes, Store, StoreContentError
+
+_NO_ZONES: Final = frozenset[str]()
+
+
+class HeadRules(RulesSource):
+    """Layout in which publishers keep the configuration.
+
+    Only the head is watched; services that it refers to are read once each.
+    """
+
+    def __init__(self) -> None:
+        self._reader: ConfigurationReader | None = None
+
+    @property
+    def prefix(self) -> str:
+        """Start of the keys to watch."""
+        return HEAD_KEY
+
+    def read(self, store: Store) -> RulesListed:
+        """Read the head, and the services that are not known yet."""
+        reader = self._reader or ConfigurationReader(store)
+        self._reader = reader
+        # Read before the head, so that a later watch misses nothing.
+        revision = store.list_prefix(HEAD_KEY).revision
+        try:
+            base = reader.read()
+        except StoreContentError as error:
+            return RulesListed(revision, None, _NO_ZONES, (str(error),))
+        if not base.revision:
+            return RulesListed(revision, None, _NO_ZONES)
+        zones_out = frozenset(state.zone for state in base.head.zones if state.out)
+        return RulesListed(revision, make_rules(base), zones_out)
+
+    def update(self, store: Store, changes: Changes) -> RulesListed:
+        """Read again what has changed."""
+        return self.read(store)
+
+
+def make_rules(base: Base) -> TrafficRules:
+    """Return the rules that a published configuration makes."""
+    return TrafficRules(
+        base.head.version,
+        tuple(_route(service) for service in base.services),
+        tuple(_limits(service) for service in base.services),
+        zones=base.head.zones,
+    )
+
+
+def _route(service: ServiceConfig) -> Route:
+    target = Target(ServiceName(service.name))
+    return Route(service.name, service.address, (target,))
+
+
+def _limits(service: ServiceConfig) -> ServiceLimits:
+    return ServiceLimits(
+        ServiceName(service.name),
+        cold_requests=service.slow_start_floor,
+        connections=service.connections,
+        drain_deadline_s=service.drain_deadline_s,
+    )
--- a/packages/configuration/tests/test_declarations.py
+++ b/packages/configuration/tests/test_declarations.py
@@ -4,8 +4,9 @@
 
 import pytest
 
-from persimmonreach.configuration import SourceFile, parse_declarations
+from persimmonreach.configuration._sources import SourceFile
 from persimmonreach.configuration.adapters import check_declarations
+from persimmonreach.configuration.declarations import parse_declarations
 from persimmonreach.core import FindingsError
 
 ZONES = SourceFile('zones.json', '{"availability_zones": ["a", "b"]}')
--- a/packages/configuration/tests/test_publisher.py
+++ b/packages/configuration/tests/test_publisher.py
@@ -10,17 +10,12 @@
 from persimmonreach.configuration import (
     Accepted,
     AuditResult,
-    CompareFailedError,
     Declarations,
     Plan,
     Publisher,
     PublisherSettings,
     Rejected,
     ServiceConfig,
-    StoreError,
-    StoreUnavailableError,
-    StoreUncertainError,
-    StoreValue,
     Timing,
     Unsettled,
     encode_head,
@@ -32,6 +27,13 @@
 from persimmonreach.core import Endpoint, FindingsError, ManualClock, ServiceId, Zone
 from persimmonreach.standins.store_fake import FakeStore
 from persimmonreach.standins.store_state import Faults, StoreState
+from persimmonreach.store import (
+    CompareFailedError,
+    StoreError,
+    StoreUnavailableError,
+    StoreUncertainError,
+    StoreValue,
+)
 
 ZONES = frozenset((Zone('a'), Zone('b')))
 WRITES_OF_TWO_SERVICES = 4
--- a/packages/discovery/src/persimmonreach/discovery/__init__.py
+++ b/packages/discovery/src/persimmonreach/discovery/__init__.py
@@ -6,6 +6,7 @@
     AgentsListed,
     EntriesListed,
     LoadChanged,
+    PeersChanged,
     RulesSeen,
     ZonesReported,
 )
@@ -33,6 +34,7 @@
 
 __all__ = (
     'PeerStatus',
+    'PeersChanged',
     'PROCESSES_PREFIX',
     'PeerRows',
     'RulesSeen',
--- a/packages/discovery/src/persimmonreach/discovery/_directory.py
+++ b/packages/discovery/src/persimmonreach/discovery/_directory.py
@@ -26,8 +26,10 @@
     EntryStatus,
 )
 
-# An agent that was never heard is greeted this often until it answers.
+# An agent that is not heard is greeted this often until it answers: it may
+# have forgotten this entry instance during a partition.
 GREETING_S: Final = 0.25
+SILENT_GREETING_S: Final = 1.0
 # A row is kept this long after its last sign of life: as long as a flow may
 # last, so that a search does not miss its holder.
 RETENTION_S: Final = 60
@@ -55,6 +57,7 @@
         self._by_service: dict[ServiceName, dict[AgentId, AgentRow]] = {}
         self._forget_at: dict[AgentId, float] = {}
         self._greet_at: float = 0
+        self._greet_silent_at: float = 0
         self._read_at = inf
 
     def __len__(self) -> int:
@@ -153,10 +156,13 @@
         if now < self._greet_at:
             return ()
         self._greet_at = now + GREETING_S
+        is_round = now >= self._greet_silent_at
+        if is_round:
+            self._greet_silent_at = now + SILENT_GREETING_S
         return tuple(
             Send(row.endpoint, self._status)
             for row in self._rows.values()
-            if not row.was_heard
+            if not row.was_heard or (is_round and row.is_silent(now))
         )
 
     def _forget_silent(self, now: float) -> None:
--- a/packages/discovery/src/persimmonreach/discovery/_events.py
+++ b/packages/discovery/src/persimmonreach/discovery/_events.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from persimmonreach.core import Zone
+from persimmonreach.core import Endpoint, Zone
 from persimmonreach.discovery.messages import AgentState, ListedAgent, ListedEntry
 
 
@@ -72,6 +72,12 @@
     zones_out: tuple[Zone, ...]
 
 
+class PeersChanged(NamedTuple):
+    """Action: the addresses of the other entry instances have changed."""
+
+    endpoints: tuple[Endpoint, ...]
+
+
 class ZonesReported(NamedTuple):
     """Action: an entry instance reported its configuration.
 
--- a/packages/discovery/src/persimmonreach/discovery/_rows.py
+++ b/packages/discovery/src/persimmonreach/discovery/_rows.py
@@ -91,6 +91,10 @@
         """Take over the state that a refusal named."""
         self.status = self.status._replace(state=state)
 
+    def silence(self, now: float) -> float:
+        """Return the seconds since the agent was heard."""
+        return now - self._heard_at
+
     def is_silent(self, now: float) -> bool:
         """Whether the agent should have been heard by now."""
         return now - self._heard_at > SILENT_AFTER_S
--- a/packages/discovery/src/persimmonreach/discovery/messages.py
+++ b/packages/discovery/src/persimmonreach/discovery/messages.py
@@ -64,6 +64,8 @@
         Requests that the backend server runs at once.
     cold_ms
         Milliseconds for which the backend server stays cold.
+    version
+        Newest version of the configuration that an entry instance has told.
 
     """
 
@@ -77,6 +79,7 @@
     busy: int = 0
     slots: int = 1
     cold_ms: int = 0
+    version: int = 0
 
 
 class EntryStatus(NamedTuple):
--- a/packages/forwarding/src/persimmonreach/forwarding/__init__.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/__init__.py
@@ -1,6 +1,11 @@
 """Packet path of entry instances and agents."""
 
-from persimmonreach.forwarding._agent import AgentForwarder, AgentIdentity
+from persimmonreach.forwarding._agent import (
+    AgentForwarder,
+    AgentIdentity,
+    AgentPolicy,
+)
+from persimmonreach.forwarding._caller_path import RouteExplanation
 from persimmonreach.forwarding._entry import EntryForwarder, EntryIdentity
 from persimmonreach.forwarding._events import (
     BackendLeft,
@@ -8,6 +13,7 @@
     BackendProbed,
     BackendReported,
     CallerPacketArrived,
+    FlowsListed,
     ProbeBackend,
     StopRequested,
 )
@@ -16,6 +22,7 @@
 __all__ = (
     'AgentForwarder',
     'AgentIdentity',
+    'AgentPolicy',
     'BackendLeft',
     'BackendPacketArrived',
     'BackendProbed',
@@ -23,7 +30,9 @@
     'CallerPacketArrived',
     'EntryForwarder',
     'EntryIdentity',
+    'FlowsListed',
     'ProbeBackend',
+    'RouteExplanation',
     'RoutedPacket',
     'StopRequested',
 )
--- a/packages/forwarding/src/persimmonreach/forwarding/_agent.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_agent.py
@@ -7,6 +7,7 @@
     Action,
     AgentId,
     Count,
+    Endpoint,
     Event,
     Incarnation,
     Received,
@@ -25,6 +26,7 @@
     StatusAnnouncer,
     ZonesReported,
 )
+from persimmonreach.flows import ProbeSettings
 from persimmonreach.forwarding._backend import BackendRun
 from persimmonreach.forwarding._backend_path import BackendPath
 from persimmonreach.forwarding._events import (
@@ -32,6 +34,7 @@
     BackendPacketArrived,
     BackendProbed,
     BackendReported,
+    FlowsListed,
     ProbeBackend,
     StopRequested,
 )
@@ -42,25 +45,61 @@
 from persimmonreach.placement import AdmissionGate, FirstPacket
 
 _TICK_S: Final = 0.1
-_INCARNATION_BITS: Final = 32
 _MS_PER_S: Final = 1000
 
 
 class AgentIdentity(NamedTuple):
-    """Which agent this is."""
+    """Which agent this is, and whom it tells first.
+
+    Attributes
+    ----------
+    agent
+        Id of the agent.
+    service
+        Service of its backend server.
+    zone
+        Availability zone of the agent.
+    incarnation
+        Number of this process; differs from that of each earlier one.
+    seeds
+        Addresses of entry instances that are told as long as none is known.
+
+    """
 
     agent: AgentId
     service: ServiceName
     zone: Zone
+    incarnation: Incarnation
+    seeds: tuple[Endpoint, ...] = ()
+
+
+class AgentPolicy(NamedTuple):
+    """What differs between front ends.
+
+    Attributes
+    ----------
+    ends_flows_with_zone
+        Whether open flows end when their availability zone is taken out of
+        service, or go on until they close.
+    probing
+        When silent flows are probed.
+
+    """
+
+    ends_flows_with_zone: bool = False
+    probing: ProbeSettings = ProbeSettings()
+
+
+KEEPS_FLOWS: Final = AgentPolicy()
 
 
 class AgentForwarder(StateMachine):
     """Decides on every packet, message and change that reaches an agent.
 
     Events: ``BackendPacketArrived``, ``BackendReported``, ``BackendLeft``,
-    ``BackendProbed``, ``EntriesListed``, ``Received``, ``StopRequested``,
-    ``Tick``. Actions: ``Deliver``, ``Reply``, ``Send``, ``ProbeBackend``,
-    ``Count``, ``Decision``, ``StateChange``.
+    ``BackendProbed``, ``FlowsListed``, ``EntriesListed``, ``Received``,
+    ``StopRequested``, ``Tick``. Actions: ``Deliver``, ``Reply``, ``Send``,
+    ``ProbeBackend``, ``Count``, ``Decision``, ``StateChange``.
 
     Parameters
     ----------
@@ -69,7 +108,9 @@
     packets
         Format of the packets.
     random
-        Source of the incarnation number and of jitter.
+        Source of jitter.
+    policy
+        What differs between front ends.
 
     """
 
@@ -78,7 +119,9 @@
         identity: AgentIdentity,
         packets: PacketFormat,
         random: Random,
+        policy: AgentPolicy = KEEPS_FLOWS,
     ) -> None:
+        self._policy = policy
         self._gate = AdmissionGate(identity.service, identity.zone)
         self._run = BackendRun()
         self._liveness = BackendLiveness()
@@ -88,20 +131,59 @@
             self._gate,
             self._run,
             self._liveness,
+            policy.probing,
         )
-        incarnation = Incarnation(random.getrandbits(_INCARNATION_BITS))
         self._announcer = StatusAnnouncer(
             AgentStatus(
                 identity.agent,
-                incarnation,
+                identity.incarnation,
                 1,
                 identity.service,
                 identity.zone,
                 AgentState.STARTING,
             ),
             random,
+            identity.seeds,
         )
         self._tick_at: float = 0
+        self._drain_since: float | None = None
+        self._is_left = False
+        self._is_stopping = False
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether the backend server takes no new flows."""
+        return self._gate.state in {AgentState.DRAINING, AgentState.LEFT}
+
+    @property
+    def has_backend(self) -> bool:
+        """Whether the backend server is running, as far as is known."""
+        return not (self._is_left or self._liveness.is_down)
+
+    @property
+    def knows_flows(self) -> bool:
+        """Whether the state of the backend server is known."""
+        return self._gate.state is not AgentState.STARTING
+
+    @property
+    def configuration_version(self) -> int:
+        """Newest version of the configuration that an entry instance has told."""
+        return self._announcer.status.version
+
+    @property
+    def is_zone_in_service(self) -> bool:
+        """Whether the agent's availability zone is in service."""
+        return not self._gate.is_zone_out
+
+    @property
+    def flow_count(self) -> int:
+        """Number of flows on record."""
+        return self._path.flow_count
+
+    @property
+    def busy(self) -> int:
+        """Flows on which a request waits for its answer."""
+        return self._path.busy
 
     @property
     def wake_at(self) -> float:
@@ -147,16 +229,27 @@
             case BackendProbed(is_up):
                 return self._on_probe(is_up, now)
             case BackendLeft(backend):
-                if self._run.is_current(backend):
-                    return self._set_state(AgentState.LEFT, now)
-                return (Count('reports_of_former_runs'),)
+                return self._on_left(backend, now)
             case EntriesListed():
                 return self._announcer.handle(event, now)
+            case FlowsListed(keys):
+                return self._path.adopt(keys, now)
             case StopRequested():
-                return self._set_state(AgentState.LEFT, now)
+                # Flows of a backend server that goes on wait for the next
+                # process of the agent.
+                self._is_stopping = True
+                is_gone = self._is_left or self._liveness.is_down
+                state = AgentState.LEFT if is_gone else AgentState.DOWN
+                return self._set_state(state, now)
             case _:
                 return (Count('agent_unknown_events'),)
 
+    def _on_left(self, backend: str, now: float) -> tuple[Action, ...]:
+        if not self._run.is_current(backend):
+            return (Count('reports_of_former_runs'),)
+        self._is_left = True
+        return self._set_state(AgentState.LEFT, now)
+
     def _on_message(
         self,
         event: Received,
@@ -175,15 +268,28 @@
             case _:
                 return (Count('messages_unexpected'),)
 
+    def _end_drained(self, now: float) -> tuple[Action, ...]:
+        """Reset the flows of a server that drains for longer than declared."""
+        if not self.is_draining:
+            self._drain_since = None
+            return ()
+        self._drain_since = now if self._drain_since is None else self._drain_since
+        deadline_s = self._gate.limits.drain_deadline_s
+        if not deadline_s or now < self._drain_since + deadline_s:
+            return ()
+        return self._path.end_all()
+
     def _on_report(self, event: BackendReported, now: float) -> tuple[Action, ...]:
         is_restart, is_current = self._run.observe(event, now)
         if not is_current:
             return (Count('reports_of_former_runs'),)
         self._liveness.note_heard(now)
+        self._is_left = False
         actions: tuple[Action, ...] = ()
         if is_restart:
             actions = self._path.reset_all()
-        self._gate.set_state(event.state, now + event.cold_s)
+        state = AgentState.DOWN if self._is_stopping else event.state
+        self._gate.set_state(state, now + event.cold_s)
         return (*actions, *self._announce(event.slots, now))
 
     def _on_probe(self, is_up: bool | None, now: float) -> tuple[Action, ...]:
@@ -230,7 +336,8 @@
         actions.extend(self._translate(self._announcer.handle(event, now)))
         if now >= self._tick_at:
             self._tick_at = now + _TICK_S
-            self._path.forget_idle(now)
+            actions.extend(self._path.sweep(now))
+            actions.extend(self._end_drained(now))
             actions.extend(self._announce(self._announcer.status.slots, now))
         return tuple(actions)
 
@@ -238,7 +345,18 @@
         outside: list[Action] = []
         for action in actions:
             if isinstance(action, ZonesReported):
-                self._gate.set_zones(action.zones_out)
+                outside.extend(self._on_zones(action))
             else:
                 outside.append(action)
         return tuple(outside)
+
+    def _on_zones(self, reported: ZonesReported) -> tuple[Action, ...]:
+        was_out = self._gate.is_zone_out
+        self._gate.set_zones(reported.zones_out)
+        if was_out == self._gate.is_zone_out:
+            return ()
+        state = 'in service' if was_out else 'out of service'
+        change = StateChange('zone', ', '.join(reported.zones_out), state)
+        if was_out or not self._policy.ends_flows_with_zone:
+            return (change,)
+        return (change, *self._path.end_all())
--- a/packages/forwarding/src/persimmonreach/forwarding/_backend.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_backend.py
@@ -50,6 +50,10 @@
         """Whether the running backend server has this id."""
         return self._run is not None and self._run.backend == backend
 
+    def note_all_known(self, now: float) -> None:
+        """Note that the backend server has listed its flows."""
+        self._knows_all_from = min(self._knows_all_from, now)
+
     def note_down(self, now: float) -> None:
         """Note that the backend server is not running; it holds no flows."""
         self._knows_all_from = now
@@ -82,5 +86,5 @@
         if is_restart or report.sequence <= _FIRST_REPORTS:
             self._knows_all_from = now
         else:
-            self._knows_all_from = now + _FLOW_LIFE_S
+            self._knows_all_from = min(self._knows_all_from, now + _FLOW_LIFE_S)
         return is_restart, True
--- a/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
@@ -1,5 +1,6 @@
 """Way of packets between entry instances, a backend server and its callers."""
 
+from collections.abc import Iterable
 from typing import Final
 
 from persimmonreach.core import (
@@ -13,7 +14,13 @@
     Reply,
     Send,
 )
-from persimmonreach.flows import HeldFlows
+from persimmonreach.flows import (
+    FlowProber,
+    HeldFlow,
+    HeldFlows,
+    ProbeSettings,
+    SilentFlow,
+)
 from persimmonreach.forwarding._backend import BackendRun
 from persimmonreach.forwarding._labels import Labels
 from persimmonreach.forwarding._liveness import (
@@ -23,17 +30,26 @@
 )
 from persimmonreach.forwarding._offers import Offers
 from persimmonreach.lookup import FlowFound, FlowMissing, PacketReturned
-from persimmonreach.packets import SYN, PacketError, PacketFormat, PacketHeader
+from persimmonreach.packets import (
+    RST,
+    SYN,
+    PacketError,
+    PacketFormat,
+    PacketHeader,
+    Segment,
+)
 from persimmonreach.placement import (
     AdmissionGate,
     FirstPacket,
     FlowAccepted,
     FlowRefused,
+    Occupancy,
     RefusalReason,
 )
 
 # Longest life of a flow; a flow without a packet for this time is over.
 _FLOW_RETENTION_S: Final = 60
+_SWEEP_S: Final = 1
 
 
 class BackendPath:
@@ -51,6 +67,8 @@
         Present run of the backend server.
     liveness
         Signs of life of the backend server.
+    probing
+        When silent flows are probed.
 
     """
 
@@ -61,6 +79,7 @@
         gate: AdmissionGate,
         run: BackendRun,
         liveness: BackendLiveness,
+        probing: ProbeSettings,
     ) -> None:
         self._agent = agent
         self._packets = packets
@@ -68,6 +87,8 @@
         self._run = run
         self._liveness = liveness
         self._flows = HeldFlows(_FLOW_RETENTION_S)
+        self._prober = FlowProber(probing, packets)
+        self._sweep_at: float = 0
         self._offers = Offers()
         self._labels = Labels()
 
@@ -100,6 +121,8 @@
         if flow is None:
             if self._run.knows_all_flows(now):
                 return (Send(sender, PacketReturned(self._agent, packet)),)
+            if not self._packets.can_bounce:
+                return (Count('packets_before_flows'),)
             flow = self._flows.add(header.key, sender, now)
         elif not flow.is_chosen_by(header):
             self._flows.remove(header.key)
@@ -125,10 +148,11 @@
             # A late copy of the first packet of a flow that is open.
             return (Count('first_packets_late'),)
         if flow is None:
-            reason = self._gate.judge(message, now)
+            occupancy = Occupancy(len(self._flows), self._flows.busy)
+            reason = self._gate.judge(message.limits, occupancy, now)
             if reason is not None:
                 return self._refuse(sender, header.key, reason)
-            flow = self._flows.add(header.key, sender, now)
+            flow = self._flows.add(header.key, sender, now, is_new=True)
         flow.entry = sender
         self._liveness.expect_answer(FIRST_PACKET_WAIT_S, now)
         return (self._deliver(sender, message.packet),)
@@ -151,6 +175,8 @@
             return (self._deliver(sender, packet), Send(sender, found))
         if flow is not None or self._is_surely_missing(now):
             return (Send(sender, FlowMissing(header.key, self._agent)),)
+        if not self._packets.can_bounce:
+            return (Count('packets_before_flows'),)
         # Only the backend server knows whether it holds the flow; it returns
         # the packet if it does not.
         self._offers.put(header.key, sender, now)
@@ -191,9 +217,30 @@
                 self._offers.wait_longer(key, now)
         return tuple(actions)
 
-    def forget_idle(self, now: float) -> None:
-        """Forget flows that are over."""
-        self._flows.forget_idle(now)
+    def sweep(self, now: float) -> tuple[Action, ...]:
+        """Forget flows that are over, and end those that are dead."""
+        if now >= self._sweep_at:
+            self._sweep_at = now + _SWEEP_S
+            self._flows.forget_idle(now)
+        return tuple(
+            outside
+            for action in self._prober.probe(self._flows, now)
+            for outside in self._end_silent(action)
+        )
+
+    def adopt(self, keys: Iterable[FlowKey], now: float) -> tuple[Action, ...]:
+        """Take over the open flows that the backend server has listed."""
+        count = 0
+        for key in keys:
+            self._flows.adopt(key, now)
+            count += 1
+        self._run.note_all_known(now)
+        return (Count('flows_adopted', count),)
+
+    def end_all(self) -> tuple[Action, ...]:
+        """Reset all flows toward callers and backend server."""
+        resets = self._resets_inbound(self._flows.keys)
+        return (*resets, *self.reset_all())
 
     def reset_all(self) -> tuple[Action, ...]:
         """Tell callers and entry instances that all flows are gone."""
@@ -213,6 +260,34 @@
         actions.append(Count('flows_lost_with_backend', len(actions)))
         return tuple(actions)
 
+    def _end_silent(self, action: Action) -> tuple[Action, ...]:
+        if not isinstance(action, SilentFlow):
+            return (action,)
+        flow = self._flows.remove(action.key)
+        acknowledged = flow.acknowledged if flow else 0
+        reset = self._packets.build_reset(action.key, acknowledged)
+        return (
+            *self._resets_inbound((action.key,), flow),
+            Reply(reset),
+            Count('flows_ended_silent'),
+            Decision('flow_ended', action.key, 'silent', {}),
+        )
+
+    def _resets_inbound(
+        self,
+        keys: Iterable[FlowKey],
+        known: HeldFlow | None = None,
+    ) -> tuple[Action, ...]:
+        if not self._packets.can_build:
+            return ()
+        return tuple(
+            Deliver(
+                self._packets.build_inbound(key, Segment(RST, flow.backend.acknowledged))
+            )
+            for key in keys
+            if (flow := known or self._flows.find(key)) is not None
+        )
+
     def _is_surely_missing(self, now: float) -> bool:
         return self._liveness.is_down or self._run.knows_all_flows(now)
 
--- a/packages/forwarding/src/persimmonreach/forwarding/_entry.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_entry.py
@@ -1,5 +1,6 @@
 """Decisions of an entry instance."""
 
+from collections.abc import Iterable
 from math import inf
 from random import Random
 from typing import Any, Final, NamedTuple
@@ -9,12 +10,14 @@
     Count,
     Endpoint,
     Event,
+    FlowKey,
     Received,
     StateMachine,
     Tick,
 )
 from persimmonreach.discovery import (
     AgentDirectory,
+    AgentRow,
     AgentsListed,
     AgentStatus,
     EntriesListed,
@@ -25,12 +28,12 @@
     PeerStatus,
     RulesSeen,
 )
-from persimmonreach.forwarding._caller_path import CallerPath
+from persimmonreach.forwarding._caller_path import CallerPath, RouteExplanation
 from persimmonreach.forwarding._events import CallerPacketArrived, StopRequested
 from persimmonreach.lookup import FlowFound, FlowMissing, PacketReturned
 from persimmonreach.packets import PacketFormat
 from persimmonreach.placement import FlowAccepted, FlowRefused
-from persimmonreach.rules import RulesChanged
+from persimmonreach.rules import RulesChanged, TrafficRules
 
 _TICK_S: Final = 0.1
 
@@ -90,6 +93,21 @@
         is_known = self._path.is_loaded and self._directory.is_read
         return is_known and not self._status.leaving
 
+    @property
+    def rules(self) -> TrafficRules:
+        """Rules in force."""
+        return self._path.rules
+
+    @property
+    def agents(self) -> Iterable[AgentRow]:
+        """Known agents."""
+        return self._directory.rows
+
+    @property
+    def entries(self) -> tuple[ListedEntry, ...]:
+        """All known entry instances with this one, by id."""
+        return self._peers.entries
+
     @property
     def last_packet_at(self) -> float:
         """Time of the latest packet of a caller."""
@@ -108,11 +126,15 @@
             'flows_known': self._path.flows_known,
             'agents_known': len(self._directory),
             'configuration_version': rules.version,
-            'zones_out': len(rules.zones_out),
+            'zones_out_of_service': len(rules.zones_out),
             'watches_closely': int(self._peers.is_watcher),
             'ready': int(self.is_ready),
         }
 
+    def explain(self, key: FlowKey, now: float) -> RouteExplanation:
+        """Return where the packets of a flow go, and why."""
+        return self._path.explain(key, now)
+
     def handle(self, event: Event, now: float) -> tuple[Action, ...]:
         """Return the actions that ``event`` causes."""
         match event:
--- a/packages/forwarding/src/persimmonreach/forwarding/_events.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_events.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from persimmonreach.core import FlowKey
 from persimmonreach.discovery import AgentState
 
 
@@ -46,6 +47,12 @@
     cold_s: float
 
 
+class FlowsListed(NamedTuple):
+    """Event: the backend server listed its open flows."""
+
+    keys: tuple[FlowKey, ...]
+
+
 class BackendLeft(NamedTuple):
     """Event: the backend server has said that it ends."""
 
--- a/packages/packets/src/persimmonreach/packets/_format.py
+++ b/packages/packets/src/persimmonreach/packets/_format.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from persimmonreach.core import Endpoint, FlowKey
-from persimmonreach.packets._header import HeaderCodec
+from persimmonreach.packets._header import HeaderCodec, PacketError, Segment
 
 # Bytes of a label.
 LABEL_BYTES: Final = 4
@@ -17,6 +17,16 @@
     format without room for one returns the packet as it is.
     """
 
+    @property
+    @abstractmethod
+    def can_bounce(self) -> bool:
+        """Whether a backend server sends packets of unknown flows back."""
+
+    @property
+    @abstractmethod
+    def can_build(self) -> bool:
+        """Whether packets other than resets toward callers can be built."""
+
     @abstractmethod
     def destination_of(self, key: FlowKey) -> bytes:
         """Return the destination address and port of a flow, packed."""
@@ -53,3 +63,25 @@
             What the caller acknowledged last.
 
         """
+
+    def build_inbound(self, key: FlowKey, segment: Segment) -> bytes:
+        """Return a packet from the caller to the service.
+
+        Raises
+        ------
+        PacketError
+            If the format cannot build such packets.
+
+        """
+        raise PacketError('packets of this format cannot be built')
+
+    def build_outbound(self, key: FlowKey, segment: Segment) -> bytes:
+        """Return a packet from the service to the caller.
+
+        Raises
+        ------
+        PacketError
+            If the format cannot build such packets.
+
+        """
+        raise PacketError('packets of this format cannot be built')
--- a/packages/packets/src/persimmonreach/packets/_header.py
+++ b/packages/packets/src/persimmonreach/packets/_header.py
@@ -70,6 +70,20 @@
         return (self.sequence + self.payload_size + phantom) % _SEQUENCE_MODULUS
 
 
+class Segment(NamedTuple):
+    """TCP fields of a packet to build."""
+
+    flags: int
+    sequence: int = 0
+    acknowledgement: int = 0
+    payload: bytes = b''
+
+    @classmethod
+    def acknowledgement_of(cls, sequence: int, acknowledged: int) -> 'Segment':
+        """Return a segment that carries nothing but an acknowledgement."""
+        return cls(ACK, sequence, acknowledged)
+
+
 class HeaderCodec(ABC):
     """Reads the headers of one packet format."""
 
--- a/packages/packets/src/persimmonreach/packets/builder.py
+++ b/packages/packets/src/persimmonreach/packets/builder.py
@@ -7,7 +7,7 @@
 import dpkt
 
 from persimmonreach.core import Endpoint, FlowKey
-from persimmonreach.packets._header import ACK, RST, PacketHeader
+from persimmonreach.packets._header import ACK, RST, PacketHeader, Segment
 
 _TCP_PROTOCOL: Final = 6
 _TIME_TO_LIVE: Final = 64
@@ -24,15 +24,6 @@
     service: Endpoint
 
 
-class Segment(NamedTuple):
-    """TCP fields of a packet to build."""
-
-    flags: int
-    sequence: int = 0
-    acknowledgement: int = 0
-    payload: bytes = b''
-
-
 def flow_key(ends: FlowEnds) -> FlowKey:
     """Return the flow key of a TCP flow over IPv4."""
     return FlowKey(
--- a/packages/placement/src/persimmonreach/placement/__init__.py
+++ b/packages/placement/src/persimmonreach/placement/__init__.py
@@ -4,10 +4,9 @@
     FlowPlaced,
     FlowRejected,
     PlaceFlow,
-    ServiceLimits,
     ZonesChanged,
 )
-from persimmonreach.placement._gate import AdmissionGate
+from persimmonreach.placement._gate import AdmissionGate, Occupancy
 from persimmonreach.placement._placement import Placement
 from persimmonreach.placement._policy import PlacementPolicy, RankedChoices, rank_rows
 from persimmonreach.placement.messages import (
@@ -24,12 +23,12 @@
     'FlowPlaced',
     'FlowRefused',
     'FlowRejected',
+    'Occupancy',
     'PlaceFlow',
     'Placement',
     'PlacementPolicy',
     'RankedChoices',
     'RefusalReason',
-    'ServiceLimits',
     'ZonesChanged',
     'rank_rows',
 )
--- a/packages/placement/tests/test_placement.py
+++ b/packages/placement/tests/test_placement.py
@@ -22,10 +22,10 @@
     Placement,
     RankedChoices,
     RefusalReason,
-    ServiceLimits,
     ZonesChanged,
     rank_rows,
 )
+from persimmonreach.rules import ServiceLimits
 
 KEY = b'flow-1'
 SERVICE = 'svc'
--- a/packages/platform/src/persimmonreach/platform/packets.py
+++ b/packages/platform/src/persimmonreach/platform/packets.py
@@ -59,7 +59,21 @@
 
 
 class PlatformPackets(PacketFormat):
-    """Packets with the platform's header of 32 bytes."""
+    """Packets with the platform's header of 32 bytes.
+
+    A checksum that the platform alone can make covers the packets, so only
+    resets toward callers, which carry none, can be built.
+    """
+
+    @property
+    def can_bounce(self) -> bool:
+        """Whether a backend server sends packets of unknown flows back."""
+        return True
+
+    @property
+    def can_build(self) -> bool:
+        """Whether packets other than resets toward callers can be built."""
+        return False
 
     def read_inbound(self, packet: bytes) -> PacketHeader:
         """Read a packet from a caller."""
--- a/packages/platform/src/persimmonreach/platform/_store.py
+++ b/packages/platform/src/persimmonreach/platform/store.py
@@ -6,7 +6,12 @@
 from urllib.parse import quote
 
 from persimmonreach.core import Endpoint
-from persimmonreach.platform._http import Answer, HttpCalls
+from persimmonreach.runtime.http import (
+    Answer,
+    HttpCalls,
+    HttpUnavailableError,
+    HttpUncertainError,
+)
 from persimmonreach.store import (
     ANY_REVISION,
     Changes,
@@ -90,14 +95,14 @@
 
     def keep_alive(self, lease: int) -> None:
         """Renew a lease."""
-        answer = self._http.call(HTTPMethod.POST, f'/kv-keep/{lease}', {})
+        answer = self._write(HTTPMethod.POST, f'/kv-keep/{lease}', {})
         if answer.status == HTTPStatus.NOT_FOUND:
             raise LeaseLostError(f'lease {lease}')
         _expect_ok(answer)
 
     def end_lease(self, lease: int) -> None:
         """End a lease and remove its keys."""
-        answer = self._http.call(HTTPMethod.DELETE, f'/kv-lease-end/{lease}')
+        answer = self._write(HTTPMethod.DELETE, f'/kv-lease-end/{lease}')
         if answer.status != HTTPStatus.NOT_FOUND:
             _expect_ok(answer)
 
@@ -124,7 +129,7 @@
 
     def _change(self, compared: list[Any], items: list[Any], removed: list[str]) -> int:
         body = {'expected': compared, 'setKeys': items, 'remove': removed}
-        answer = self._http.call(HTTPMethod.POST, '/kv-txn', body)
+        answer = self._write(HTTPMethod.POST, '/kv-txn', body)
         if answer.status == HTTPStatus.PRECONDITION_FAILED:
             raise CompareFailedError(str(compared))
         if answer.status == HTTPStatus.NOT_FOUND:
@@ -134,8 +139,16 @@
     def _read(self, path: str, extra_wait_s: float = 0) -> Answer:
         try:
             return self._http.call(HTTPMethod.GET, path, extra_wait_s=extra_wait_s)
-        except StoreUncertainError as error:
+        except (HttpUnavailableError, HttpUncertainError) as error:
+            raise StoreUnavailableError(str(error)) from error
+
+    def _write(self, method: HTTPMethod, path: str, body: Any = None) -> Answer:
+        try:
+            return self._http.call(method, path, body)
+        except HttpUnavailableError as error:
             raise StoreUnavailableError(str(error)) from error
+        except HttpUncertainError as error:
+            raise StoreUncertainError(str(error)) from error
 
 
 def _compare(key: str, revision: int) -> dict[str, Any]:
--- a/packages/proof/src/persimmonreach/proof/simulation/_nodes.py
+++ b/packages/proof/src/persimmonreach/proof/simulation/_nodes.py
@@ -229,7 +229,12 @@
 
     def _make(self) -> StateMachine:
         listed = self.listed
-        identity = AgentIdentity(listed.agent, listed.service, listed.zone)
+        identity = AgentIdentity(
+            listed.agent,
+            listed.service,
+            listed.zone,
+            self._number,
+        )
         return AgentForwarder(identity, PlatformPackets(), self._random())
 
     def _perform(self, action: Action) -> None:
--- a/packages/proof/src/persimmonreach/proof/simulation/_world.py
+++ b/packages/proof/src/persimmonreach/proof/simulation/_world.py
@@ -18,7 +18,7 @@
 from persimmonreach.proof.simulation._network import Network
 from persimmonreach.proof.simulation._nodes import AgentNode, EntryNode, Node
 from persimmonreach.proof.simulation._time import Scheduler
-from persimmonreach.rules import Route, RulesChanged, ServiceRules, Target, TrafficRules
+from persimmonreach.rules import Route, RulesChanged, ServiceLimits, Target, TrafficRules
 
 SERVICE: Final = 'counter'
 OTHER_SERVICE: Final = 'sheets'
@@ -77,7 +77,7 @@
                 Route('r1', ADDRESS, (Target(SERVICE),)),
                 Route('r2', OTHER_ADDRESS, (Target(OTHER_SERVICE),)),
             ),
-            (ServiceRules(SERVICE, plan.cold_per_s),),
+            (ServiceLimits(SERVICE, plan.cold_per_s),),
         )
         self.is_store_up = True
         self._hosts = 0
--- a/packages/rules/src/persimmonreach/rules/__init__.py
+++ b/packages/rules/src/persimmonreach/rules/__init__.py
@@ -1,29 +1,31 @@
 """Traffic rules in force at a node."""
 
-from persimmonreach.rules._rules import (
+from persimmonreach.rules._model import (
     Route,
     RulesChanged,
-    RulesDecoder,
-    RulesInForce,
     RulesListed,
     RulesOutdated,
     RulesWatched,
-    ServiceRules,
+    ServiceLimits,
     Target,
     TrafficRules,
     WatchAssigned,
+    ZoneState,
 )
+from persimmonreach.rules._rules import RulesInForce
+from persimmonreach.rules._source import RulesSource
 
 __all__ = (
     'Route',
     'RulesChanged',
-    'RulesDecoder',
     'RulesInForce',
     'RulesListed',
     'RulesOutdated',
+    'RulesSource',
     'RulesWatched',
-    'ServiceRules',
+    'ServiceLimits',
     'Target',
     'TrafficRules',
     'WatchAssigned',
+    'ZoneState',
 )
--- a/packages/rules/src/persimmonreach/rules/tasks.py
+++ b/packages/rules/src/persimmonreach/rules/tasks.py
@@ -6,12 +6,9 @@
 import gevent
 
 from persimmonreach.core import Action, Clock, Count, StateChange
-from persimmonreach.rules._rules import (
-    RulesInForce,
-    RulesListed,
-    RulesWatched,
-    WatchAssigned,
-)
+from persimmonreach.rules._model import WatchAssigned
+from persimmonreach.rules._rules import RulesInForce
+from persimmonreach.rules._source import RulesSource
 from persimmonreach.runtime import Task
 from persimmonreach.store import Backoff, HistoryLostError, Store, StoreError
 
@@ -34,8 +31,8 @@
     ----------
     store
         Store of the platform.
-    prefix
-        Start of the keys that hold the rules.
+    source
+        Layout of the rules in the store.
     rules
         Decides which rules are in force.
     clock
@@ -50,7 +47,7 @@
     def __init__(
         self,
         store: Store,
-        prefix: str,
+        source: RulesSource,
         rules: RulesInForce,
         clock: Clock,
         sink: Callable[[Action], None],
@@ -59,7 +56,7 @@
         super().__init__(tick_seconds=WATCH_S)
         self._watch_s = CLOSE_WATCH_S
         self._store = store
-        self._prefix = prefix
+        self._source = source
         self._rules = rules
         self._clock = clock
         self._sink = sink
@@ -86,7 +83,7 @@
             self._sink(action)
 
     def _list(self) -> None:
-        self._apply(RulesListed(self._store.list_prefix(self._prefix)))
+        self._apply(self._source.read(self._store))
 
     def tick(self) -> None:
         """Do nothing: the task waits for the store."""
@@ -108,11 +105,11 @@
             return True
         after = self._rules.revision
         try:
-            changes = self._store.watch(self._prefix, after, self._watch_s)
+            changes = self._store.watch(self._source.prefix, after, self._watch_s)
         except HistoryLostError:
             self._sink(Count('rules_history_lost'))
             return False
-        self._apply(RulesWatched(changes))
+        self._apply(self._source.update(self._store, changes))
         if changes.written or changes.removed:
             gevent.sleep(COLLECT_S)
         return True
--- a/packages/runtime/src/persimmonreach/runtime/_machine_task.py
+++ b/packages/runtime/src/persimmonreach/runtime/_machine_task.py
@@ -28,6 +28,11 @@
         self._clock = clock
         self._armed_at: float = 0
 
+    @property
+    def machine(self) -> StateMachine:
+        """Decisions of the task, to read their state."""
+        return self._machine
+
     def receive(self, message: Any) -> None:
         """Decide on one message and carry out the actions."""
         for action in self._machine.handle(message, self._clock.now()):
--- a/packages/platform/src/persimmonreach/platform/_http.py
+++ b/packages/runtime/src/persimmonreach/runtime/http.py
@@ -9,13 +9,20 @@
 from gevent import socket
 
 from persimmonreach.core import Endpoint
-from persimmonreach.store import StoreUnavailableError, StoreUncertainError
 
 # Idle connections that are kept for the next call.
 _LARGEST_POOL: Final = 2
 _JSON: Final = 'application/json'
 
 
+class HttpUnavailableError(OSError):
+    """A call was not sent."""
+
+
+class HttpUncertainError(OSError):
+    """A call was sent and its answer lost."""
+
+
 class Answer(NamedTuple):
     """Answer of a call: its status and its decoded body."""
 
@@ -67,9 +74,9 @@
 
         Raises
         ------
-        StoreUnavailableError
+        HttpUnavailableError
             If nothing was sent.
-        StoreUncertainError
+        HttpUncertainError
             If the answer was lost.
 
         """
@@ -89,7 +96,7 @@
             yield connection
         except (OSError, HTTPException, ValueError) as error:
             connection.close()
-            raise StoreUncertainError(f'{call}: {error!r}') from error
+            raise HttpUncertainError(f'{call}: {error!r}') from error
         except BaseException:
             # The greenlet was ended in the middle of the call.
             connection.close()
@@ -102,7 +109,7 @@
             connection.connect()
         except OSError as error:
             connection.close()
-            raise StoreUnavailableError(f'{call}: {error!r}') from error
+            raise HttpUnavailableError(f'{call}: {error!r}') from error
         return connection
 
     def _keep(self, connection: HTTPConnection) -> None:
--- a/packages/standins/src/persimmonreach/standins/_backend_journal.py
+++ b/packages/standins/src/persimmonreach/standins/_backend_journal.py
@@ -3,7 +3,7 @@
 from typing import TypedDict
 
 from persimmonreach.core import FlowKey
-from persimmonreach.packets import RequestFrame
+from persimmonreach.standins._frame_types import RequestFrame
 
 
 class RunRow(TypedDict):
@@ -22,6 +22,7 @@
     instance: str
     runs: dict[str, RunRow]
     flows: dict[str, float]
+    established: dict[str, float]
     shed: int
     largest_cold: int
     largest_warm: int
@@ -36,6 +37,7 @@
         instance=instance,
         runs={},
         flows={},
+        established={},
         shed=0,
         largest_cold=0,
         largest_warm=0,
@@ -65,3 +67,8 @@
     """Record a new flow."""
     journal['flows'][key.hex()] = now
     journal['last_new_flow_at'] = now
+
+
+def note_established(journal: BackendJournal, key: FlowKey, now: float) -> None:
+    """Record that the caller has acknowledged the opening of a flow."""
+    journal['established'].setdefault(key.hex(), now)
--- a/packages/standins/src/persimmonreach/standins/_call.py
+++ b/packages/standins/src/persimmonreach/standins/_call.py
@@ -3,13 +3,9 @@
 import random
 from typing import Final, NamedTuple
 
-from persimmonreach.packets import (
-    AnswerFrame,
-    RefusalFrame,
-    RequestFrame,
-)
 from persimmonreach.standins._answers import answer_to, request_body
 from persimmonreach.standins._caller_journal import CallOutcome
+from persimmonreach.standins._frame_types import AnswerFrame, RefusalFrame, RequestFrame
 
 RETRANSMIT_PERIOD_S: Final = 0.25
 # A reply sent at the deadline may be lost once or twice on its way.
--- a/packages/standins/src/persimmonreach/standins/_endpoint.py
+++ b/packages/standins/src/persimmonreach/standins/_endpoint.py
@@ -2,8 +2,7 @@
 
 from typing import Final
 
-from persimmonreach.packets import ACK, FIN, RST, SYN, PacketHeader
-from persimmonreach.packets.builder import Segment
+from persimmonreach.packets import ACK, FIN, RST, SYN, PacketHeader, Segment
 
 _MODULUS: Final = 0x100000000
 # Receive window; a segment beyond it moves no number (RFC 9293, 3.10.7.4).
@@ -13,8 +12,8 @@
 class SequenceState:
     """Sequence numbers of one end of a flow.
 
-    Payloads are not reassembled: each carries a whole frame, and requests
-    are repeated by the caller. Only what keepalive probes need is kept.
+    Payloads are not reassembled: each carries a whole frame. A payload that
+    was received before is recognized by its sequence number.
 
     Parameters
     ----------
@@ -27,6 +26,7 @@
         self._first = first
         self._next = first
         self._expected: int | None = None
+        self._received: set[int] = set()
 
     @property
     def expected(self) -> int | None:
@@ -44,6 +44,15 @@
         self._next += len(payload) + int(bool(flags & FIN))
         return built
 
+    def is_acknowledged_by(self, header: PacketHeader) -> bool:
+        """Return whether a segment acknowledges the own SYN and no unsent data."""
+        step = (header.acknowledgement - self._first) % _MODULUS
+        return 0 < step <= self._next - self._first
+
+    def is_repeated(self, header: PacketHeader) -> bool:
+        """Return whether the payload of a segment was received before."""
+        return bool(header.payload_size) and header.sequence in self._received
+
     def observe(self, header: PacketHeader) -> bool:
         """Note a segment of the other end; return whether to acknowledge it.
 
@@ -55,5 +64,7 @@
         after = header.next_sequence
         if known is None or (after - known) % _MODULUS < _WINDOW:
             self._expected = after
+        if header.payload_size:
+            self._received.add(header.sequence)
         is_bare = header.flags & (SYN | FIN | RST | ACK) == ACK
         return is_bare and not header.payload_size and header.sequence != known
--- a/packages/packets/src/persimmonreach/packets/_frames.py
+++ b/packages/standins/src/persimmonreach/standins/_frames.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from persimmonreach.packets.messages import FRAME_TYPES
+from persimmonreach.standins._frame_types import FRAME_TYPES
 
 # A payload without this prefix is opaque and passed through unchanged.
 _MAGIC: Final = b'\xf7PR1'
