--- a/packages/platform/src/persimmonreach/platform/store.py
+++ b/packages/platform/src/persimmonreach/platform/store.py
@@ -1,10 +1,12 @@
 """Client of the platform's store."""
 
-from base64 import b64decode, b64encode
+from base64 import b64encode
 from http import HTTPMethod, HTTPStatus
-from typing import Any, Final
+from typing import Any, Final, NotRequired, TypedDict, TypeVar
 from urllib.parse import quote
 
+import msgspec
+
 from persimmonreach.core import Endpoint
 from persimmonreach.runtime.http import (
     Answer,
@@ -20,6 +22,7 @@
     LeaseLostError,
     Listing,
     Store,
+    StoreContentError,
     StoreError,
     StoreUnavailableError,
     StoreUncertainError,
@@ -35,6 +38,34 @@
 )
 
 
+Body = TypeVar('Body')
+
+
+class _Item(TypedDict):
+    key: str
+    value: bytes
+    revision: int
+
+
+class _Event(TypedDict):
+    key: str
+    revision: int
+    value: NotRequired[bytes]
+    tombstone: NotRequired[bool]
+
+
+_Range = TypedDict('_Range', {'asOf': int, 'items': list[_Item], 'hasMore': bool})
+_Watch = TypedDict('_Watch', {'asOf': int, 'events': list[_Event]})
+
+
+class _Written(TypedDict):
+    revision: int
+
+
+class _Granted(TypedDict):
+    lease: int
+
+
 class PlatformStore(Store):
     """Store of the platform over HTTP with JSON bodies.
 
@@ -57,7 +88,7 @@
         answer = self._read(f'/kv-key?key={quote(key, safe="")}')
         if answer.status == HTTPStatus.NOT_FOUND:
             return None
-        return _value(_expect_ok(answer).body)
+        return StoreValue(**_decode(answer, _Item))
 
     def list_prefix(self, prefix: str, *, may_be_stale: bool = False) -> Listing:
         """Return all keys that start with ``prefix``, ordered by name."""
@@ -68,10 +99,10 @@
             path = f'{path}&allowStale=1'
         page = path
         while True:
-            body = _expect_ok(self._read(page)).body
+            body = _decode(self._read(page), _Range)
             # Pages are not a snapshot: a watch goes on from the first one.
             revision = revision or body['asOf']
-            rows.extend(_value(item) for item in body['items'])
+            rows.extend(StoreValue(**item) for item in body['items'])
             if not body['hasMore']:
                 return Listing(revision, tuple(rows))
             page = f'{path}&after={quote(rows[-1].key, safe="")}'
@@ -88,10 +119,9 @@
 
     def grant_lease(self, ttl_s: float) -> int:
         """Return a new lease that lasts ``ttl_s`` seconds."""
-        answer = self._http.call(
-            HTTPMethod.POST, '/kv-lease', {'ttlMs': int(ttl_s * _MS_PER_S)}
-        )
-        return _expect_ok(answer).body['lease']
+        body = {'ttlMs': int(ttl_s * _MS_PER_S)}
+        answer = self._write(HTTPMethod.POST, '/kv-lease', body)
+        return _decode(answer, _Granted)['lease']
 
     def keep_alive(self, lease: int) -> None:
         """Renew a lease."""
@@ -109,23 +139,19 @@
     def watch(self, prefix: str, after: int, timeout_s: float) -> Changes:
         """Wait until a key that starts with ``prefix`` changes."""
         wait_ms = int(timeout_s * _MS_PER_S)
-        name = quote(prefix, safe='')
-        path = f'/kv-watch?prefix={name}&after={after}&waitMs={wait_ms}'
-        answer = self._read(path, timeout_s)
+        query = f'prefix={quote(prefix, safe="")}&after={after}&waitMs={wait_ms}'
+        answer = self._read(f'/kv-watch?{query}', timeout_s)
         if answer.status == HTTPStatus.GONE:
             raise HistoryLostError(f'changes after {after}')
-        body = _expect_ok(answer).body
-        written: dict[str, StoreValue] = {}
-        removed: set[str] = set()
-        for event in body['events']:
-            key = event['key']
-            written.pop(key, None)
-            removed.discard(key)
-            if event.get('tombstone'):
-                removed.add(key)
-            else:
-                written[key] = _value(event)
-        return Changes(body['asOf'], tuple(written.values()), tuple(removed))
+        body = _decode(answer, _Watch)
+        latest = {event['key']: event for event in body['events']}
+        written = tuple(
+            StoreValue(key, event.get('value', b''), event['revision'])
+            for key, event in latest.items()
+            if not event.get('tombstone')
+        )
+        removed = tuple(key for key, event in latest.items() if event.get('tombstone'))
+        return Changes(body['asOf'], written, removed)
 
     def _change(self, compared: list[Any], items: list[Any], removed: list[str]) -> int:
         body = {'expected': compared, 'setKeys': items, 'remove': removed}
@@ -134,7 +160,7 @@
             raise CompareFailedError(str(compared))
         if answer.status == HTTPStatus.NOT_FOUND:
             raise LeaseLostError(str(items))
-        return _expect_ok(answer).body['revision']
+        return _decode(answer, _Written)['revision']
 
     def _read(self, path: str, extra_wait_s: float = 0) -> Answer:
         try:
@@ -163,5 +189,9 @@
     raise StoreError(f'unexpected status {answer.status}: {answer.body}')
 
 
-def _value(item: Any) -> StoreValue:
-    return StoreValue(item['key'], b64decode(item['value']), item['revision'])
+def _decode(answer: Answer, body_type: type[Body]) -> Body:
+    body = _expect_ok(answer).body
+    try:
+        return msgspec.convert(body, body_type)
+    except msgspec.ValidationError as error:
+        raise StoreContentError(f'malformed answer: {error}') from error
--- a/packages/platform/tests/test_store.py
+++ b/packages/platform/tests/test_store.py
@@ -1,9 +1,11 @@
 """Guards against calls to the platform's store that hang, lie or are lost."""
 
 from collections.abc import Iterator
+from typing import Any
 
 import gevent
 import pytest
+from gevent.pywsgi import WSGIServer
 
 from persimmonreach.core import Endpoint, MonotonicClock
 from persimmonreach.platform.store import CALL_TIMEOUT_S, PlatformStore
@@ -15,11 +17,25 @@
     CompareFailedError,
     HistoryLostError,
     LeaseLostError,
+    StoreError,
     StoreUnavailableError,
     StoreUncertainError,
 )
 
 MANY = 1100
+CALLS = {
+    'get': lambda store: store.get('k'),
+    'list': lambda store: store.list_prefix('k'),
+    'put': lambda store: store.put('k', b'1', ABSENT),
+    'delete': lambda store: store.delete('k'),
+    'grant': lambda store: store.grant_lease(1),
+    'keep': lambda store: store.keep_alive(1),
+    'end': lambda store: store.end_lease(1),
+    'watch': lambda store: store.watch('k', 0, 0.1),
+}
+# Answers that a store in order never gives.
+ITEM_WITHOUT_FIELDS = b'{"asOf": 1, "items": [{}], "hasMore": false}'
+MALFORMED = (b'', b'[]', b'"text"', b'{}', ITEM_WITHOUT_FIELDS)
 
 
 @pytest.fixture
@@ -135,12 +151,44 @@
     assert store.get('k').value == b'1'
 
 
-def test_a_store_that_does_not_listen_is_unavailable(server: StoreServer) -> None:
+@pytest.mark.parametrize('name', CALLS)
+def test_a_store_that_does_not_listen_is_unavailable(
+    server: StoreServer,
+    name: str,
+) -> None:
     port = server.port
     server.stop()
     store = PlatformStore(Endpoint('127.0.0.1', port))
     with pytest.raises(StoreUnavailableError):
-        store.put('k', b'1', ABSENT)
+        CALLS[name](store)
+
+
+@pytest.mark.parametrize('name', CALLS)
+def test_a_silent_store_fails_no_call_in_another_way(
+    store: PlatformStore,
+    server: StoreServer,
+    name: str,
+) -> None:
+    """An error of another type ended the process."""
+    server.switch.set_faults(Faults(silent=True))
+    with pytest.raises((StoreUnavailableError, StoreUncertainError)):
+        CALLS[name](store)
+
+
+@pytest.mark.parametrize('body', MALFORMED)
+@pytest.mark.parametrize('name', ['get', 'list', 'put', 'grant', 'watch'])
+def test_a_malformed_answer_is_an_error_of_the_store(name: str, body: bytes) -> None:
+    def respond(_: dict[str, Any], start_response: Any) -> list[bytes]:
+        start_response('200 OK', [('Content-Type', 'application/json')])
+        return [body]
+
+    malformed = WSGIServer(('127.0.0.1', 0), respond, log=None)
+    malformed.start()
+    store = PlatformStore(Endpoint('127.0.0.1', malformed.server_port))
+    with pytest.raises(StoreError):
+        CALLS[name](store)
+    store.close()
+    malformed.stop(timeout=0)
 
 
 def test_a_watch_does_not_hold_up_other_calls(store: PlatformStore) -> None:
