--- a/packages/daemon/src/persimmonreach/daemon/_monitor.py
+++ b/packages/daemon/src/persimmonreach/daemon/_monitor.py
@@ -10,7 +10,7 @@
 from persimmonreach.forwarding import BackendProbed, BackendReported, FlowsListed
 from persimmonreach.packets.builder import is_flow_key
 from persimmonreach.runtime import Task
-from persimmonreach.runtime.http import HttpCalls
+from persimmonreach.runtime.http_client import HttpCalls
 
 # A backend server that turns cold without warning is overloaded if it is read
 # only every 0.5 s.
--- a/packages/daemon/src/persimmonreach/daemon/_wire.py
+++ b/packages/daemon/src/persimmonreach/daemon/_wire.py
@@ -5,7 +5,8 @@
 from typing import Final
 
 from persimmonreach.process import MESSAGE_TYPES
-from persimmonreach.runtime import LARGEST_WINDOW_S, SharedKey, WireCodec
+from persimmonreach.runtime import LARGEST_WINDOW_S, SharedKey
+from persimmonreach.runtime.signed import WireCodec
 from persimmonreach.zones.messages import MESSAGE_TYPES as ZONES_TYPES
 
 ALL_TYPES: Final = MappingProxyType({**MESSAGE_TYPES, **ZONES_TYPES})
--- a/packages/daemon/tests/test_decoders.py
+++ b/packages/daemon/tests/test_decoders.py
@@ -16,7 +16,7 @@
 from persimmonreach.packets import ACK, PSH, Ipv4TcpCodec, PacketError, Segment
 from persimmonreach.packets.builder import FlowEnds, build_inbound, flow_key
 from persimmonreach.runtime import EnvelopeError, SharedKey, WireError
-from persimmonreach.runtime._codec import _tag
+from persimmonreach.runtime.signed import _tag
 from persimmonreach.standins._frame_types import FRAME_TYPES
 from persimmonreach.standins._frames import FrameError, MsgpackFrameCodec
 
--- a/packages/observability/src/persimmonreach/observability/tasks.py
+++ b/packages/observability/src/persimmonreach/observability/tasks.py
@@ -2,21 +2,16 @@
 
 import json
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Iterable
-from typing import Any, Final
-
-from gevent.pywsgi import WSGIServer
+from http import HTTPStatus
+from typing import Any
 
 from persimmonreach.core import Endpoint
 from persimmonreach.observability._counters import Counters
 from persimmonreach.observability._signals import StopSignal
+from persimmonreach.runtime.http_server import HttpRequest, HttpResponse, HttpServer
 
 __all__ = ('HttpEndpoint', 'StatusSource', 'StopSignal')
 
-_OK: Final = '200 OK'
-_UNAVAILABLE: Final = '503 Service Unavailable'
-_NOT_FOUND: Final = '404 Not Found'
-
 
 class StatusSource(ABC):
     """What the endpoints report of the process."""
@@ -52,12 +47,12 @@
     ) -> None:
         self._counters = counters
         self._source = source
-        self._server = WSGIServer(tuple(bind), self._respond, log=None)
+        self._server = HttpServer(bind, self._respond)
 
     @property
     def endpoint(self) -> Endpoint:
         """Address that the server listens on, once started."""
-        return Endpoint(self._server.server_host, self._server.server_port)
+        return self._server.endpoint
 
     def start(self) -> None:
         """Start to listen."""
@@ -65,28 +60,22 @@
 
     def stop(self) -> None:
         """Stop listening and end the open connections."""
-        self._server.stop(timeout=0)
+        self._server.stop()
 
-    def _respond(
-        self,
-        environ: dict[str, Any],
-        start_response: Callable[..., Any],
-    ) -> Iterable[bytes]:
-        path = environ['PATH_INFO']
-        if path == '/metrics':
-            content, headers = self._counters.render(environ.get('HTTP_ACCEPT', ''))
-            start_response(_OK, list(headers.items()))
-            return [content]
-        status, body = self._answer(path)
-        start_response(status, [('Content-Type', 'application/json')])
-        return [json.dumps(body).encode()]
-
-    def _answer(self, path: str) -> tuple[str, dict[str, Any]]:
+    def _respond(self, request: HttpRequest) -> HttpResponse:
+        if request.path == '/metrics':
+            content, headers = self._counters.render(request.accept)
+            return HttpResponse(HTTPStatus.OK, content, headers['Content-Type'])
+        status, body = self._answer(request.path)
+        return HttpResponse(status, json.dumps(body).encode())
+
+    def _answer(self, path: str) -> tuple[HTTPStatus, dict[str, Any]]:
         if path == '/live':
-            return _OK, {'live': True}
+            return HTTPStatus.OK, {'live': True}
         if path == '/ready':
             ready = self._source.is_ready()
-            return (_OK if ready else _UNAVAILABLE), {'ready': ready}
+            status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
+            return status, {'ready': ready}
         if path == '/status':
-            return _OK, self._source.status()
-        return _NOT_FOUND, {'error': 'unknown path'}
+            return HTTPStatus.OK, self._source.status()
+        return HTTPStatus.NOT_FOUND, {'error': 'unknown path'}
--- a/packages/platform/src/persimmonreach/platform/_agent_process.py
+++ b/packages/platform/src/persimmonreach/platform/_agent_process.py
@@ -23,12 +23,15 @@
     ----------
     settings
         Checked settings.
+    path
+        File that the settings were read from.
 
     """
 
-    def __init__(self, settings: AgentProcessSettings) -> None:
+    def __init__(self, settings: AgentProcessSettings, path: str) -> None:
         super().__init__(settings.place, PlatformPackets(), AgentPolicy())
         self._settings = settings
+        self._path = path
 
     def _make_backend(self) -> BackendLink:
         datagrams = UdpSocket(self._settings.from_backend)
@@ -57,6 +60,22 @@
         return PlainCodec(message_types)
 
     def _reload(self) -> str:
-        outcome, settings = reload_settings(read_agent_settings, self._settings)
+        outcome, settings = reload_settings(
+            read_agent_settings,
+            self._path,
+            self._settings,
+        )
         self._settings = settings
         return outcome
+
+
+def run(path: str) -> None:
+    """Run an agent with the settings in a file.
+
+    Raises
+    ------
+    FindingsError
+        With every fault of the settings.
+
+    """
+    AgentProcess(read_agent_settings(path), path).run()
--- a/packages/platform/src/persimmonreach/platform/_endpoints.py
+++ b/packages/platform/src/persimmonreach/platform/_endpoints.py
@@ -1,22 +1,16 @@
 """Endpoint that takes the reports of the backend server."""
 
-from collections.abc import Callable, Iterable
-from http import HTTPMethod
+from collections.abc import Callable
+from http import HTTPMethod, HTTPStatus
 from typing import Any, Final
 
-from gevent.pywsgi import WSGIServer
-
 from persimmonreach.core import Action, Count, Endpoint, StateChange
 from persimmonreach.forwarding import BackendLeft
 from persimmonreach.platform._bodies import BodyError, decode_report, report_origin
+from persimmonreach.runtime.http_server import HttpRequest, HttpResponse, HttpServer
 
 _HEARTBEAT_PATH: Final = '/Instances.Heartbeat/'
 _LEAVE_PATH: Final = '/Instances.Leave/'
-_OK: Final = '200 OK'
-_BAD_REQUEST: Final = '400 Bad Request'
-_NOT_FOUND: Final = '404 Not Found'
-_LARGEST_BODY: Final = 65_536
-_HEADERS: Final = (('Content-Type', 'application/json'),)
 
 
 class ReportEndpoint:
@@ -45,12 +39,12 @@
         self._service = service
         self._post = post
         self._sink = sink
-        self._server = WSGIServer(tuple(bind), self._respond, log=None)
+        self._server = HttpServer(bind, self._respond)
 
     @property
     def port(self) -> int:
         """Port that the server listens on, once started."""
-        return self._server.server_port
+        return self._server.endpoint.port
 
     def start(self) -> None:
         """Start to listen."""
@@ -58,34 +52,28 @@
 
     def stop(self) -> None:
         """Stop listening and end the open connections."""
-        self._server.stop(timeout=0)
+        self._server.stop()
 
-    def _respond(
-        self,
-        environ: dict[str, Any],
-        start_response: Callable[..., Any],
-    ) -> Iterable[bytes]:
+    def _respond(self, request: HttpRequest) -> HttpResponse:
         try:
-            status = self._answer(environ)
+            return HttpResponse(self._take(request))
         except BodyError as error:
             self._sink(Count('reports_malformed'))
-            self._sink(StateChange('report_malformed', environ['PATH_INFO'], str(error)))
-            status = _BAD_REQUEST
-        start_response(status, list(_HEADERS))
-        return [b'{}']
+            self._sink(StateChange('report_malformed', request.path, str(error)))
+            return HttpResponse(HTTPStatus.BAD_REQUEST)
 
-    def _answer(self, environ: dict[str, Any]) -> str:
-        path = environ['PATH_INFO']
-        if environ['REQUEST_METHOD'] != HTTPMethod.POST:
-            return _NOT_FOUND
+    def _take(self, request: HttpRequest) -> HTTPStatus:
+        path = request.path
+        if request.method != HTTPMethod.POST:
+            return HTTPStatus.NOT_FOUND
         if path.startswith(_LEAVE_PATH):
             self._post(BackendLeft(path.removeprefix(_LEAVE_PATH)))
-            return _OK
+            return HTTPStatus.OK
         if not path.startswith(_HEARTBEAT_PATH):
-            return _NOT_FOUND
-        body = environ['wsgi.input'].read(_LARGEST_BODY)
-        service, _ = report_origin(body)
+            return HTTPStatus.NOT_FOUND
+        service, _ = report_origin(request.body)
         if service != self._service:
             raise BodyError(f'service {service} is not the one of this instance')
-        self._post(decode_report(path.removeprefix(_HEARTBEAT_PATH), body))
-        return _OK
+        backend = path.removeprefix(_HEARTBEAT_PATH)
+        self._post(decode_report(backend, request.body))
+        return HTTPStatus.OK
--- a/packages/platform/src/persimmonreach/platform/_entry_process.py
+++ b/packages/platform/src/persimmonreach/platform/_entry_process.py
@@ -23,12 +23,15 @@
     ----------
     settings
         Checked settings.
+    path
+        File that the settings were read from.
 
     """
 
-    def __init__(self, settings: EntryProcessSettings) -> None:
+    def __init__(self, settings: EntryProcessSettings, path: str) -> None:
         super().__init__(settings.place, PlatformPackets())
         self._settings = settings
+        self._path = path
 
     def _make_callers(self) -> CallerLink:
         bind = self._settings.callers
@@ -46,6 +49,22 @@
         return PlainCodec(message_types)
 
     def _reload(self) -> str:
-        outcome, settings = reload_settings(read_entry_settings, self._settings)
+        outcome, settings = reload_settings(
+            read_entry_settings,
+            self._path,
+            self._settings,
+        )
         self._settings = settings
         return outcome
+
+
+def run(path: str) -> None:
+    """Run an entry instance with the settings in a file.
+
+    Raises
+    ------
+    FindingsError
+        With every fault of the settings.
+
+    """
+    EntryProcess(read_entry_settings(path), path).run()
--- a/packages/platform/src/persimmonreach/platform/_reload.py
+++ b/packages/platform/src/persimmonreach/platform/_reload.py
@@ -1,17 +1,16 @@
 """Reading the settings file again while the process runs."""
 
-import os
 from collections.abc import Callable
 from typing import TypeVar
 
 from persimmonreach.core import FindingsError
-from persimmonreach.platform._settings import SETTINGS_VARIABLE
 
 Settings = TypeVar('Settings', bound=tuple)
 
 
 def reload_settings(
     read: Callable[[str], Settings],
+    path: str,
     present: Settings,
 ) -> tuple[str, Settings]:
     """Return what came of it, and the settings in force.
@@ -20,7 +19,7 @@
     reported, and taken over by the next process.
     """
     try:
-        settings = read(os.environ[SETTINGS_VARIABLE])
+        settings = read(path)
     except FindingsError as error:
         problems = '; '.join(str(finding) for finding in error.findings)
         return f'refused: {problems}', present
--- a/packages/platform/src/persimmonreach/platform/_settings.py
+++ b/packages/platform/src/persimmonreach/platform/_settings.py
@@ -1,7 +1,6 @@
 """Settings that the platform hands to a process."""
 
 import json
-from pathlib import Path
 from typing import Any, Final, NamedTuple
 
 from persimmonreach.core import (
@@ -16,7 +15,6 @@
 from persimmonreach.discovery import ListedAgent, ListedEntry
 from persimmonreach.process import AgentPlace, EntryPlace
 
-SETTINGS_VARIABLE: Final = 'PERSIMMONREACH_CONFIG'
 # Part of the time before the end by force that is left unused.
 _GRACE_MARGIN_S: Final = 1.0
 # Time that requests at work get when an agent is replaced; its flows wait for
@@ -199,7 +197,8 @@
 
 def _load(path: str) -> _Document:
     try:
-        content = json.loads(Path(path).read_text(encoding='utf-8'))
+        with open(path, encoding='utf-8') as settings_file:
+            content = json.load(settings_file)
     except (OSError, ValueError) as error:
         raise_findings(
             'settings of the platform cannot be read',
--- a/packages/platform/src/persimmonreach/platform/main.py
+++ b/packages/platform/src/persimmonreach/platform/main.py
@@ -1,38 +1,27 @@
 """Command line of a process on the platform: ``main.py {entry,agent}``."""
 
+import gc
 import os
 import sys
-from collections.abc import Callable
+from importlib import import_module
 from types import MappingProxyType
-from typing import Any, Final, NamedTuple
+from typing import Final
 
 from persimmonreach.core import FindingsError
-from persimmonreach.platform._agent_process import AgentProcess
-from persimmonreach.platform._entry_process import EntryProcess
-from persimmonreach.platform._settings import (
-    SETTINGS_VARIABLE,
-    read_agent_settings,
-    read_entry_settings,
-)
 
 EXIT_DONE: Final = 0
 EXIT_FINDINGS: Final = 2
-_USAGE: Final = f'usage: {{entry,agent}}, with {SETTINGS_VARIABLE} set\n'
-
-
-class Role(NamedTuple):
-    """What a role of the process is made of."""
-
-    read_settings: Callable[[str], Any]
-    process_type: type
-
-
+# Names the settings file.
+SETTINGS_VARIABLE: Final = 'PERSIMMONREACH_CONFIG'
+# Modules with ``run(path)``. Only that of the role is loaded: its flows wait
+# while a process starts.
 ROLES: Final = MappingProxyType(
     {
-        'entry': Role(read_entry_settings, EntryProcess),
-        'agent': Role(read_agent_settings, AgentProcess),
+        'entry': 'persimmonreach.platform._entry_process',
+        'agent': 'persimmonreach.platform._agent_process',
     },
 )
+_USAGE: Final = f'usage: {{entry,agent}}, with {SETTINGS_VARIABLE} set\n'
 
 
 def main() -> int:
@@ -49,14 +38,17 @@
     if len(arguments) != 1 or arguments[0] not in ROLES or not path:
         sys.stderr.write(_USAGE)
         return EXIT_FINDINGS
-    role = ROLES[arguments[0]]
+    # Collections while modules load find nothing to free.
+    gc.disable()
+    role = import_module(ROLES[arguments[0]])
+    gc.freeze()
+    gc.enable()
     try:
-        settings = role.read_settings(path)
+        role.run(path)
     except FindingsError as error:
         for finding in error.findings:
             sys.stderr.write(f'{finding}\n')
         return EXIT_FINDINGS
-    role.process_type(settings).run()
     return EXIT_DONE
 
 
--- a/packages/platform/src/persimmonreach/platform/store.py
+++ b/packages/platform/src/persimmonreach/platform/store.py
@@ -1,14 +1,14 @@
 """Client of the platform's store."""
 
+import re
 from base64 import b64encode
 from http import HTTPMethod, HTTPStatus
 from typing import Any, Final, NotRequired, TypedDict, TypeVar
-from urllib.parse import quote
 
 import msgspec
 
 from persimmonreach.core import Endpoint
-from persimmonreach.runtime.http import (
+from persimmonreach.runtime.http_client import (
     Answer,
     HttpCalls,
     HttpUnavailableError,
@@ -33,6 +33,8 @@
 # gone silent is noticed after this time.
 CALL_TIMEOUT_S: Final = 1.0
 _MS_PER_S: Final = 1000
+# Names of characters that stand for themselves in a query (RFC 3986, 3.4).
+_PLAIN_NAME: Final = re.compile(r'[\w.~/-]*', re.ASCII)
 _UNAVAILABLE: Final = frozenset(
     (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS),
 )
@@ -85,7 +87,7 @@
 
     def get(self, key: str) -> StoreValue | None:
         """Return the key, or nothing if it does not exist."""
-        answer = self._read(f'/kv-key?key={quote(key, safe="")}')
+        answer = self._read(f'/kv-key?key={_quote(key)}')
         if answer.status == HTTPStatus.NOT_FOUND:
             return None
         return StoreValue(**_decode(answer, _Item))
@@ -94,7 +96,7 @@
         """Return all keys that start with ``prefix``, ordered by name."""
         rows: list[StoreValue] = []
         revision = 0
-        path = f'/kv-range?prefix={quote(prefix, safe="")}'
+        path = f'/kv-range?prefix={_quote(prefix)}'
         if may_be_stale:
             path = f'{path}&allowStale=1'
         page = path
@@ -105,7 +107,7 @@
             rows.extend(StoreValue(**item) for item in body['items'])
             if not body['hasMore']:
                 return Listing(revision, tuple(rows))
-            page = f'{path}&after={quote(rows[-1].key, safe="")}'
+            page = f'{path}&after={_quote(rows[-1].key)}'
 
     def put(self, key: str, value: bytes, expected: int, lease: int = 0) -> int:
         """Write a key and return its revision."""
@@ -139,7 +141,7 @@
     def watch(self, prefix: str, after: int, timeout_s: float) -> Changes:
         """Wait until a key that starts with ``prefix`` changes."""
         wait_ms = int(timeout_s * _MS_PER_S)
-        query = f'prefix={quote(prefix, safe="")}&after={after}&waitMs={wait_ms}'
+        query = f'prefix={_quote(prefix)}&after={after}&waitMs={wait_ms}'
         answer = self._read(f'/kv-watch?{query}', timeout_s)
         if answer.status == HTTPStatus.GONE:
             raise HistoryLostError(f'changes after {after}')
@@ -177,6 +179,17 @@
             raise StoreUncertainError(str(error)) from error
 
 
+def _quote(name: str) -> str:
+    """Return a key as a part of a query."""
+    if _PLAIN_NAME.fullmatch(name) is None:
+        # Loaded only for names that need it, which the product's do not: the
+        # flows of a process wait while it starts.
+        from urllib.parse import quote
+
+        return quote(name, safe='')
+    return name
+
+
 def _compare(key: str, revision: int) -> dict[str, Any]:
     return {'key': key, 'revision': revision}
 
--- a/packages/runtime/src/persimmonreach/runtime/__init__.py
+++ b/packages/runtime/src/persimmonreach/runtime/__init__.py
@@ -7,7 +7,6 @@
     PlainCodec,
     SharedKey,
     StaleError,
-    WireCodec,
     WireError,
 )
 from persimmonreach.runtime._machine_task import MachineTask
@@ -29,7 +28,6 @@
     'StaleError',
     'Task',
     'UdpSocket',
-    'WireCodec',
     'WireError',
     'end_process',
 )
--- a/packages/runtime/src/persimmonreach/runtime/_peer.py
+++ b/packages/runtime/src/persimmonreach/runtime/_peer.py
@@ -15,7 +15,6 @@
     MessageCodec,
     StaleError,
     WireError,
-    message_tag,
 )
 from persimmonreach.runtime._replay import ReplayMemory
 from persimmonreach.runtime._task import BATCH, Task
@@ -131,9 +130,10 @@
         self._dispatch(Received(sender, message))
 
     def _is_copy(self, message_type: type, datagram: bytes) -> bool:
-        if message_type in self._packet_types or not self._codec.has_tags:
+        if message_type in self._packet_types:
             return False
-        return not self._memory.admit(message_tag(datagram), self._clock.now())
+        tag = self._codec.tag_of(datagram)
+        return tag is not None and not self._memory.admit(tag, self._clock.now())
 
     def _dispatch(self, received: Received) -> None:
         message_type = type(received.message)
--- a/packages/runtime/tests/test_replay.py
+++ b/packages/runtime/tests/test_replay.py
@@ -16,9 +16,9 @@
     SharedKey,
     StaleError,
     Task,
-    WireCodec,
 )
 from persimmonreach.runtime._replay import ReplayMemory
+from persimmonreach.runtime.signed import WireCodec
 
 KEY = SharedKey(1, bytes(16))
 NS_PER_S = 1_000_000_000
