--- a/packages/discovery/src/persimmonreach/discovery/_announcer.py
+++ b/packages/discovery/src/persimmonreach/discovery/_announcer.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from math import inf
 from random import Random
-from typing import Final
+from typing import Final, NamedTuple
 
 from persimmonreach.core import (
     Action,
@@ -11,6 +11,7 @@
     Endpoint,
     EntryId,
     Event,
+    Incarnation,
     Received,
     Send,
     StateMachine,
@@ -40,11 +41,31 @@
 SEED_S: Final = 0.5
 
 
+class KnownEntry(NamedTuple):
+    """An entry instance that has answered, and which process of it.
+
+    Attributes
+    ----------
+    entry
+        Id of the entry instance.
+    endpoint
+        Its address.
+    incarnation
+        Number of the process; 0 if it has not told.
+
+    """
+
+    entry: EntryId
+    endpoint: Endpoint
+    incarnation: Incarnation
+
+
 class _EntryRow:
-    __slots__ = ('acknowledged', 'endpoint', 'heard_at', 'send_at')
+    __slots__ = ('acknowledged', 'endpoint', 'heard_at', 'incarnation', 'send_at')
 
     def __init__(self, endpoint: Endpoint, now: float) -> None:
         self.endpoint = endpoint
+        self.incarnation = Incarnation(0)
         self.heard_at = now
         self.send_at = now
         self.acknowledged = 0
@@ -85,6 +106,14 @@
         """Latest status."""
         return self._status
 
+    @property
+    def entries(self) -> tuple[KnownEntry, ...]:
+        """Entry instances that are told."""
+        return tuple(
+            KnownEntry(entry, row.endpoint, row.incarnation)
+            for entry, row in self._entries.items()
+        )
+
     @property
     def is_confirmed(self) -> bool:
         """Whether all known entry instances know the present state."""
@@ -142,6 +171,7 @@
         added = self._add(status.entry, sender, now)
         row = self._entries[status.entry]
         row.heard_at = now
+        row.incarnation = status.incarnation
         was_behind = self._is_behind(row)
         row.acknowledged = max(row.acknowledged, status.acknowledged)
         if was_behind and not self._is_behind(row):
--- a/packages/discovery/src/persimmonreach/discovery/messages.py
+++ b/packages/discovery/src/persimmonreach/discovery/messages.py
@@ -100,6 +100,8 @@
         none.
     leaving
         Whether the process is about to end.
+    incarnation
+        Random number of the process.
 
     """
 
@@ -109,6 +111,7 @@
     zones_out: tuple[Zone, ...] = ()
     acknowledged: int = 0
     leaving: bool = False
+    incarnation: Incarnation = Incarnation(0)
 
 
 class ListedAgent(NamedTuple):
--- a/packages/forwarding/src/persimmonreach/forwarding/_agent.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_agent.py
@@ -40,7 +40,13 @@
 )
 from persimmonreach.forwarding._liveness import BackendLiveness
 from persimmonreach.forwarding.messages import RoutedPacket
-from persimmonreach.lookup import QueriedPacket
+from persimmonreach.lookup import (
+    DirectoryProcess,
+    FlowQueried,
+    HoldingsPublisher,
+    PublishRound,
+    QueriedPacket,
+)
 from persimmonreach.packets import PacketFormat
 from persimmonreach.placement import AdmissionGate, FirstPacket
 
@@ -145,6 +151,7 @@
             random,
             identity.seeds,
         )
+        self._publisher = HoldingsPublisher(identity.agent)
         self._tick_at: float = 0
         self._drain_since: float | None = None
         self._is_left = False
@@ -263,6 +270,8 @@
                 return self._path.on_first(event.sender, message, now)
             case QueriedPacket(packet):
                 return self._path.on_queried(event.sender, packet, now)
+            case FlowQueried(key):
+                return self._path.on_asked(event.sender, key, now)
             case EntryStatus():
                 return self._translate(self._announcer.handle(event, now))
             case _:
@@ -339,8 +348,17 @@
             actions.extend(self._path.sweep(now))
             actions.extend(self._end_drained(now))
             actions.extend(self._announce(self._announcer.status.slots, now))
+            actions.extend(self._publish(now))
         return tuple(actions)
 
+    def _publish(self, now: float) -> tuple[Action, ...]:
+        entries = {
+            known.entry: DirectoryProcess(known.endpoint, known.incarnation)
+            for known in self._announcer.entries
+        }
+        publishing = PublishRound(self._path.open_flows, entries)
+        return self._publisher.handle(publishing, now)
+
     def _translate(self, actions: tuple[Action, ...]) -> tuple[Action, ...]:
         outside: list[Action] = []
         for action in actions:
--- a/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
@@ -1,6 +1,6 @@
 """Way of packets between entry instances, a backend server and its callers."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import Final
 
 from persimmonreach.core import (
@@ -29,7 +29,12 @@
     BackendLiveness,
 )
 from persimmonreach.forwarding._offers import Offers
-from persimmonreach.lookup import FlowFound, FlowMissing, PacketReturned
+from persimmonreach.lookup import (
+    FlowFound,
+    FlowMissing,
+    FlowUnsure,
+    PacketReturned,
+)
 from persimmonreach.packets import (
     RST,
     SYN,
@@ -107,6 +112,15 @@
         """Flows on which a request waits for its answer."""
         return self._flows.busy
 
+    @property
+    def open_flows(self) -> Iterator[FlowKey]:
+        """Flows that the caller has opened and that are not closed."""
+        return (
+            key
+            for key, flow in self._flows.items()
+            if flow.is_open and not flow.is_closed
+        )
+
     def on_routed(
         self,
         sender: Endpoint,
@@ -183,6 +197,20 @@
         self._liveness.expect_answer(FIRST_PACKET_WAIT_S, now)
         return (self._deliver(sender, packet), Count('packets_offered'))
 
+    def on_asked(
+        self,
+        sender: Endpoint,
+        key: FlowKey,
+        now: float,
+    ) -> tuple[Action, ...]:
+        """Answer whether a flow is held here."""
+        flow = self._flows.find(key)
+        if flow is not None and flow.is_open:
+            return (Send(sender, FlowFound(key, self._agent)),)
+        if flow is None and self._is_surely_missing(now):
+            return (Send(sender, FlowMissing(key, self._agent)),)
+        return (Send(sender, FlowUnsure(key, self._agent)),)
+
     def on_backend_packet(self, packet: bytes, now: float) -> tuple[Action, ...]:
         """Decide on a packet from the backend server."""
         if self._packets.is_bounced(packet):
--- a/packages/forwarding/src/persimmonreach/forwarding/_caller_path.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_caller_path.py
@@ -7,6 +7,7 @@
     AgentId,
     Count,
     Decision,
+    EntryId,
     Event,
     FlowKey,
     Reply,
@@ -73,14 +74,21 @@
         Format of the packets.
     directory
         Known agents.
+    own
+        Id of this entry instance.
 
     """
 
-    def __init__(self, packets: PacketFormat, directory: AgentDirectory) -> None:
+    def __init__(
+        self,
+        packets: PacketFormat,
+        directory: AgentDirectory,
+        own: EntryId,
+    ) -> None:
         self._packets = packets
         self._directory = directory
         self._placement = Placement(directory, RankedChoices())
-        self._search = HolderSearch(directory)
+        self._search = HolderSearch(directory, own)
         self._routes = RouteTable(packets)
         self._holders = HolderTable(_GENERATION_S)
 
@@ -104,6 +112,11 @@
         """Number of flows whose holder is known."""
         return len(self._holders)
 
+    @property
+    def flows_published(self) -> int:
+        """Number of flows that agents have published here."""
+        return self._search.flows_published
+
     def explain(self, key: FlowKey, now: float) -> RouteExplanation:
         """Return where the packets of a flow go, and why."""
         limits = self._routes.find(key)
--- a/packages/forwarding/src/persimmonreach/forwarding/_entry.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_entry.py
@@ -11,6 +11,7 @@
     Endpoint,
     Event,
     FlowKey,
+    Incarnation,
     Received,
     StateMachine,
     Tick,
@@ -25,17 +26,22 @@
     EntryStatus,
     ListedEntry,
     PeerRows,
+    PeersChanged,
     PeerStatus,
     RulesSeen,
 )
 from persimmonreach.forwarding._caller_path import CallerPath, RouteExplanation
 from persimmonreach.forwarding._events import CallerPacketArrived, StopRequested
-from persimmonreach.lookup import FlowFound, FlowMissing, PacketReturned
+from persimmonreach.lookup import EntriesChanged, PacketReturned
+from persimmonreach.lookup.messages import MESSAGE_TYPES as LOOKUP_TYPES
 from persimmonreach.packets import PacketFormat
 from persimmonreach.placement import FlowAccepted, FlowRefused
 from persimmonreach.rules import RulesChanged, TrafficRules
 
 _TICK_S: Final = 0.1
+# Integers of this size keep their value in every codec.
+_INCARNATION_BITS: Final = 53
+_SEARCH_MESSAGES: Final = tuple(LOOKUP_TYPES.values())
 
 
 class EntryIdentity(NamedTuple):
@@ -80,10 +86,15 @@
         random: Random,
     ) -> None:
         own = identity.own
-        self._status = EntryStatus(own.entry, own.zone)
+        self._status = EntryStatus(
+            own.entry,
+            own.zone,
+            incarnation=Incarnation(random.getrandbits(_INCARNATION_BITS)),
+        )
         self._directory = AgentDirectory(self._status)
         self._peers = EntryPeers(own, self._directory, identity.seeds, random)
-        self._path = CallerPath(packets, self._directory)
+        self._path = CallerPath(packets, self._directory, own.entry)
+        self._path.on_search(EntriesChanged(self._peers.entries), 0)
         self._tick_at: float = 0
         self._last_packet_at = -inf
 
@@ -124,6 +135,7 @@
         rules = self._path.rules
         return {
             'flows_known': self._path.flows_known,
+            'flows_published': self._path.flows_published,
             'agents_known': len(self._directory),
             'configuration_version': rules.version,
             'zones_out_of_service': len(rules.zones_out),
@@ -176,12 +188,12 @@
             case FlowRefused(key):
                 self._path.on_refused(key)
                 return self._path.on_placement(event, now)
-            case FlowFound() | FlowMissing():
-                return self._path.on_search(event, now)
             case PacketReturned():
                 return self._path.on_returned(message, now)
             case PeerStatus() | PeerRows():
                 return self._on_peers(event, now)
+            case _ if isinstance(message, _SEARCH_MESSAGES):
+                return self._path.on_search(event, now)
             case _:
                 return (Count('messages_unexpected'),)
 
@@ -191,6 +203,9 @@
             if isinstance(action, AgentsListed):
                 outside.extend(self._directory.handle(action, now))
             else:
+                if isinstance(action, PeersChanged):
+                    changed = EntriesChanged(self._peers.entries)
+                    self._path.on_search(changed, now)
                 outside.append(action)
         return tuple(outside)
 
--- a/packages/lookup/src/persimmonreach/lookup/_events.py
+++ b/packages/lookup/src/persimmonreach/lookup/_events.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from persimmonreach.core import AgentId, FlowKey, ServiceName
+from persimmonreach.discovery import ListedEntry
 
 
 class SearchHolder(NamedTuple):
@@ -28,6 +29,12 @@
     missing_at: AgentId | None = None
 
 
+class EntriesChanged(NamedTuple):
+    """Event: other entry instances are known, this one among them."""
+
+    entries: tuple[ListedEntry, ...]
+
+
 class HolderFound(NamedTuple):
     """Action: the flow is held by ``agent``.
 
@@ -36,9 +43,9 @@
     key
         Flow.
     agent
-        Holder, which has got the first packet.
+        Holder.
     packets
-        Packets that waited for the search.
+        Packets that waited for the search and that the holder has not got.
 
     """
 
--- a/packages/lookup/src/persimmonreach/lookup/_search.py
+++ b/packages/lookup/src/persimmonreach/lookup/_search.py
@@ -1,8 +1,7 @@
 """Search for the agent that holds a flow."""
 
-from collections import deque
-from collections.abc import Iterable
-from typing import Final
+from collections.abc import Iterable, Sequence
+from typing import Any, Final
 
 from persimmonreach.core import (
     Action,
@@ -10,6 +9,7 @@
     Count,
     Deadlines,
     Decision,
+    EntryId,
     Event,
     FlowKey,
     Received,
@@ -17,63 +17,68 @@
     StateMachine,
     Tick,
 )
-from persimmonreach.discovery import AgentDirectory, AgentRow, AgentState
-from persimmonreach.lookup._events import HolderFound, HolderMissing, SearchHolder
-from persimmonreach.lookup.messages import FlowFound, FlowMissing, QueriedPacket
+from persimmonreach.discovery import AgentDirectory, AgentRow, AgentState, ListedEntry
+from persimmonreach.lookup._directories import FlowDirectory, directories_of
+from persimmonreach.lookup._events import (
+    EntriesChanged,
+    HolderFound,
+    HolderMissing,
+    SearchHolder,
+)
+from persimmonreach.lookup._state import Phase, Search
+from persimmonreach.lookup.messages import (
+    FlowFound,
+    FlowMissing,
+    FlowQueried,
+    FlowUnsure,
+    HolderAsked,
+    HolderTold,
+    HoldingsPublished,
+    QueriedPacket,
+)
 from persimmonreach.placement import rank_rows
 
-# Agents asked first: those among which placement would have chosen.
+# Wait for the directories: two ways between zones with jitter.
+DIRECTORY_WAIT_S: Final = 0.02
+# Agents offered the packet when no directory knows the flow: those among which
+# placement would have chosen.
 FIRST_ASKED: Final = 2
-# Wait for those asked first: two ways between zones with jitter, and a bounce.
+# Wait for those: two ways between zones with jitter, and a bounce.
 FIRST_WAIT_S: Final = 0.025
 # Wait for all others; then the search has no result and the next packet begins
 # a new one.
 LAST_WAIT_S: Final = 0.06
-# A caller has at most 16 packets in flight.
-LARGEST_QUEUE: Final = 16
-
-
-class _Search:
-    __slots__ = (
-        'asked',
-        'is_last',
-        'missing',
-        'packets',
-        'service',
-        'started_at',
-        'waiting',
-    )
-
-    def __init__(self, event: SearchHolder, now: float) -> None:
-        self.service = event.service
-        self.packets: deque[bytes] = deque((event.packet,), maxlen=LARGEST_QUEUE)
-        self.started_at = now
-        self.asked: set[AgentId] = set()
-        self.waiting: set[AgentId] = set()
-        self.missing: set[AgentId] = set()
-        self.is_last = False
-        if event.missing_at is not None:
-            self.asked.add(event.missing_at)
-            self.missing.add(event.missing_at)
+# Agents that are offered the packet at once because only it can show whether
+# they hold the flow: 10 KB, which a link of 5 Mbit/s carries in 16 ms.
+UNSURE_AT_ONCE: Final = 8
+_MS_PER_S: Final = 1000
 
 
 class HolderSearch(StateMachine):
-    """Asks agents for a flow: the likely ones first, then all others.
+    """Asks for the holder of a flow, in order of the cost of asking.
 
-    Events: ``SearchHolder``, ``Received`` with an answer,
-    ``Tick``. Actions: ``Send``, ``HolderFound``, ``HolderMissing``, ``Count``,
-    ``Decision``.
+    First the directories of the flow, then the agents that placement would
+    have chosen, which are offered the packet, then all others by the key alone.
+
+    Events: ``SearchHolder``, ``EntriesChanged``, ``Received`` with an answer or
+    a message to the own directory, ``Tick``. Actions: ``Send``,
+    ``HolderFound``, ``HolderMissing``, ``Count``, ``Decision``.
 
     Parameters
     ----------
     directory
         Known agents.
+    own
+        Id of this entry instance.
 
     """
 
-    def __init__(self, directory: AgentDirectory) -> None:
+    def __init__(self, directory: AgentDirectory, own: EntryId = '') -> None:
         self._directory = directory
-        self._searches: dict[FlowKey, _Search] = {}
+        self._own = own
+        self._flows = FlowDirectory()
+        self._entries: dict[EntryId, ListedEntry] = {}
+        self._searches: dict[FlowKey, Search] = {}
         self._deadlines: Deadlines[FlowKey] = Deadlines()
 
     @property
@@ -81,17 +86,46 @@
         """Time at which the next wait ends."""
         return self._deadlines.next_at
 
+    @property
+    def flows_published(self) -> int:
+        """Flows that agents have published to this entry instance."""
+        return len(self._flows)
+
     def handle(self, event: Event, now: float) -> tuple[Action, ...]:
         """Return the actions that ``event`` causes."""
         match event:
             case SearchHolder():
                 return self._on_search(event, now)
-            case Received(_, FlowFound() as found):
-                return self._on_found(found, now)
-            case Received(_, FlowMissing() as missing):
-                return self._on_missing(missing, now)
+            case Received(_, HoldingsPublished() | HolderAsked()):
+                return self._flows.handle(event, now)
+            case Received(_, message):
+                return self._on_answer(message, now)
+            case EntriesChanged(entries):
+                self._entries = {listed.entry: listed for listed in entries}
+                return ()
             case Tick():
-                return self._on_tick(now)
+                return (*self._flows.handle(event, now), *self._on_tick(now))
+            case _:
+                return (Count('lookup_unknown_events'),)
+
+    def _on_answer(self, message: Any, now: float) -> tuple[Action, ...]:
+        match message:
+            case FlowFound():
+                return self._on_found(message, now)
+            case FlowMissing(key, agent):
+                search = self._searches.get(key)
+                if search is None:
+                    return ()
+                search.note_missing(agent)
+                return self._proceed(search, now)
+            case FlowUnsure(key, agent):
+                search = self._searches.get(key)
+                if search is None:
+                    return ()
+                search.note_unsure(agent)
+                return self._proceed(search, now)
+            case HolderTold():
+                return self._on_told(message, now)
             case _:
                 return (Count('lookup_unknown_events'),)
 
@@ -100,69 +134,119 @@
         if search is not None:
             search.packets.append(event.packet)
             return ()
-        search = _Search(event, now)
+        search = Search(event, now)
         self._searches[event.key] = search
-        rows = self._directory.of_service(event.service).values()
-        ranked = rank_rows(event.key, _askable(rows, search))
-        asked = self._ask(search, ranked[:FIRST_ASKED])
-        started = Count('searches_started')
-        if asked:
-            self._deadlines.put(event.key, now + FIRST_WAIT_S)
-            return (started, *asked)
-        return (started, *self._widen(event.key, search, now))
+        return (Count('searches_started'), *self._ask_directories(search, now))
+
+    def _ask_directories(self, search: Search, now: float) -> tuple[Action, ...]:
+        key = search.key
+        chosen = directories_of(key, self._entries)
+        if self._own in chosen:
+            chosen.remove(self._own)
+            hinted = self._hinted(search, self._flows.find(key))
+            if hinted:
+                return self._try_hint(search, hinted, now)
+        search.directories_due = len(chosen)
+        if not chosen:
+            return self._advance(search, now)
+        self._deadlines.put(key, now + DIRECTORY_WAIT_S)
+        asked = HolderAsked(key)
+        return tuple(Send(self._entries[entry].endpoint, asked) for entry in chosen)
+
+    def _on_told(self, told: HolderTold, now: float) -> tuple[Action, ...]:
+        search = self._searches.get(told.key)
+        if search is None or search.phase is not Phase.DIRECTORIES:
+            return ()
+        search.directories_due -= 1
+        hinted = self._hinted(search, told.agent)
+        if hinted:
+            return self._try_hint(search, hinted, now)
+        return () if search.directories_due else self._advance(search, now)
+
+    def _hinted(self, search: Search, agent: AgentId | None) -> list[AgentRow]:
+        row = self._directory.find(agent) if agent else None
+        return [] if row is None else list(_askable((row,), search))
+
+    def _try_hint(
+        self,
+        search: Search,
+        hinted: Sequence[AgentRow],
+        now: float,
+    ) -> tuple[Action, ...]:
+        search.phase = Phase.HINT
+        self._deadlines.put(search.key, now + FIRST_WAIT_S)
+        return (Count('searches_hinted'), *self._offer(search, hinted))
 
     def _on_found(self, found: FlowFound, now: float) -> tuple[Action, ...]:
         self._deadlines.cancel(found.key)
         search = self._searches.pop(found.key, None)
         if search is None:
             return (HolderFound(found.key, found.agent, ()),)
-        waiting = tuple(search.packets)[1:]
-        inputs = _inputs_of(search, now)
         return (
-            HolderFound(found.key, found.agent, waiting),
+            HolderFound(found.key, found.agent, search.packets_for(found.agent)),
             Count('searches_found'),
-            Decision('holder_found', found.key, found.agent, inputs),
+            Decision('holder_found', found.key, found.agent, _inputs_of(search, now)),
         )
 
-    def _on_missing(self, missing: FlowMissing, now: float) -> tuple[Action, ...]:
-        search = self._searches.get(missing.key)
-        if search is None:
-            return ()
-        search.missing.add(missing.agent)
-        search.waiting.discard(missing.agent)
-        if search.waiting:
-            return ()
-        return self._widen(missing.key, search, now)
-
     def _on_tick(self, now: float) -> tuple[Action, ...]:
         actions: list[Action] = []
         for key in self._deadlines.pop_due(now):
-            actions.extend(self._widen(key, self._searches[key], now))
+            actions.extend(self._advance(self._searches[key], now))
         return tuple(actions)
 
-    def _widen(self, key: FlowKey, search: _Search, now: float) -> tuple[Action, ...]:
-        if not search.is_last:
-            search.is_last = True
-            others = list(_askable(self._directory.rows, search))
-            asked = self._ask(search, others)
-            if asked:
-                self._deadlines.put(key, now + LAST_WAIT_S)
-                return asked
-        return self._conclude(key, search, now)
-
-    def _ask(self, search: _Search, rows: list[AgentRow]) -> tuple[Action, ...]:
-        agents = {row.agent for row in rows}
-        search.asked |= agents
-        search.waiting |= agents
-        query = QueriedPacket(search.packets[0])
-        return tuple(Send(row.endpoint, query) for row in rows)
-
-    def _conclude(
-        self,
-        key: FlowKey,
-        search: _Search,
-        now: float,
-    ) -> tuple[Action, ...]:
+    def _proceed(self, search: Search, now: float) -> tuple[Action, ...]:
+        """Go on after an answer that did not end the search."""
+        offered = self._offer_unsure(search, now)
+        if offered or search.waiting:
+            return offered
+        return self._advance(search, now)
+
+    def _advance(self, search: Search, now: float) -> tuple[Action, ...]:
+        """Ask the next agents; end the search if none is left."""
+        if search.phase is Phase.ALL:
+            # Agents that are silent do not hold up those that wait for an offer.
+            search.offers_due.clear()
+            offered = self._offer_unsure(search, now)
+            return offered or self._conclude(search, now)
+        if search.phase < Phase.LIKELY:
+            search.phase = Phase.LIKELY
+            rows = self._directory.of_service(search.service).values()
+            ranked = rank_rows(search.key, _askable(rows, search))
+            self._deadlines.put(search.key, now + FIRST_WAIT_S)
+            asked = self._offer(search, ranked[:FIRST_ASKED])
+        else:
+            search.phase = Phase.ALL
+            self._deadlines.put(search.key, now + LAST_WAIT_S)
+            asked = self._query(search, list(_askable(self._directory.rows, search)))
+        return asked or self._advance(search, now)
+
+    def _offer(self, search: Search, rows: Iterable[AgentRow]) -> tuple[Action, ...]:
+        queried = QueriedPacket(search.first)
+        sends = []
+        for row in rows:
+            search.note_offered(row.agent)
+            sends.append(Send(row.endpoint, queried))
+        return tuple(sends)
+
+    def _query(self, search: Search, rows: Iterable[AgentRow]) -> tuple[Action, ...]:
+        queried = FlowQueried(search.key)
+        sends = []
+        for row in rows:
+            search.note_queried(row.agent)
+            sends.append(Send(row.endpoint, queried))
+        return tuple(sends)
+
+    def _offer_unsure(self, search: Search, now: float) -> tuple[Action, ...]:
+        found = (
+            self._directory.find(agent) for agent in search.take_unsure(UNSURE_AT_ONCE)
+        )
+        rows = [row for row in found if row is not None]
+        if rows:
+            self._deadlines.put(search.key, now + LAST_WAIT_S)
+        return self._offer(search, rows)
+
+    def _conclude(self, search: Search, now: float) -> tuple[Action, ...]:
+        key = search.key
         self._searches.pop(key)
         self._deadlines.cancel(key)
         inputs = _inputs_of(search, now)
@@ -172,13 +256,13 @@
                 Decision('holder_not_found', key, 'dropped', inputs),
             )
         return (
-            HolderMissing(key, search.packets[-1]),
+            HolderMissing(key, search.latest),
             Count('searches_missing'),
             Decision('holder_not_found', key, 'reset', inputs),
         )
 
 
-def _askable(rows: Iterable[AgentRow], search: _Search) -> Iterable[AgentRow]:
+def _askable(rows: Iterable[AgentRow], search: Search) -> Iterable[AgentRow]:
     return (
         row
         for row in rows
@@ -186,10 +270,11 @@
     )
 
 
-def _inputs_of(search: _Search, now: float) -> dict[str, object]:
+def _inputs_of(search: Search, now: float) -> dict[str, object]:
     return {
+        'phase': search.phase.name.lower(),
         'asked': len(search.asked),
         'missing': len(search.missing),
-        'silent': sorted(search.waiting),
-        'took_ms': round((now - search.started_at) * 1000, 1),
+        'silent': sorted(search.waiting)[:UNSURE_AT_ONCE],
+        'took_ms': round((now - search.started_at) * _MS_PER_S, 1),
     }
--- /dev/null
+++ b/packages/lookup/tests/test_directories.py
@@ -0,0 +1,220 @@
+"""Guards against lookups whose cost grows with the agents or the flows."""
+
+from collections.abc import Sequence
+
+import pytest
+
+from persimmonreach.core import Action, Endpoint, Received, Send, Tick
+from persimmonreach.discovery import (
+    AgentDirectory,
+    AgentsListed,
+    AgentState,
+    AgentStatus,
+    EntryStatus,
+    ListedEntry,
+)
+from persimmonreach.lookup import (
+    DirectoryProcess,
+    EntriesChanged,
+    FlowDirectory,
+    FlowFound,
+    FlowMissing,
+    FlowQueried,
+    FlowUnsure,
+    HolderAsked,
+    HolderFound,
+    HolderMissing,
+    HolderSearch,
+    HolderTold,
+    HoldingsPublished,
+    HoldingsPublisher,
+    PublishRound,
+    QueriedPacket,
+    SearchHolder,
+)
+from persimmonreach.lookup._directories import REPUBLISH_S, directories_of
+from persimmonreach.lookup._publisher import FLOWS_PER_ROUND
+from persimmonreach.lookup._search import UNSURE_AT_ONCE
+
+KEY = b'flow-1'
+PACKET = b'packet 1' * 150
+AGENTS = 61
+ENTRIES = tuple(
+    ListedEntry(f'e{number}', 'z', Endpoint('10.0.1.1', number)) for number in range(24)
+)
+NAMES = [listed.entry for listed in ENTRIES]
+PROCESSES = {listed.entry: DirectoryProcess(listed.endpoint, 1) for listed in ENTRIES}
+SENDER = Endpoint('x', 1)
+
+
+def search_of(own: str) -> HolderSearch:
+    agents = AgentDirectory(EntryStatus(own, 'z'))
+    for number in range(AGENTS):
+        status = AgentStatus(f'a{number}', 1, 1, 'svc', 'z', AgentState.READY)
+        agents.handle(Received(Endpoint('10.0.0.1', number), status), 0)
+    agents.handle(AgentsListed(()), 0)
+    search = HolderSearch(agents, own)
+    search.handle(EntriesChanged(ENTRIES), 0)
+    return search
+
+
+@pytest.fixture
+def search() -> HolderSearch:
+    chosen = directories_of(KEY, NAMES)
+    return search_of(next(name for name in NAMES if name not in chosen))
+
+
+def sent(actions: Sequence[Action], kind: type) -> list[Send]:
+    return [
+        action
+        for action in actions
+        if isinstance(action, Send) and isinstance(action.message, kind)
+    ]
+
+
+def begin(search: HolderSearch) -> tuple[Action, ...]:
+    return search.handle(SearchHolder(KEY, 'svc', PACKET), 0)
+
+
+def answer(search: HolderSearch, message: object) -> tuple[Action, ...]:
+    return search.handle(Received(SENDER, message), 0.01)
+
+
+def ask_all(search: HolderSearch) -> list[Send]:
+    """Let the directories and the likely agents say no."""
+    begin(search)
+    answer(search, HolderTold(KEY, ''))
+    likely = sent(answer(search, HolderTold(KEY, '')), QueriedPacket)
+    for send in likely:
+        actions = answer(search, FlowMissing(KEY, f'a{send.to.port}'))
+    return sent(actions, FlowQueried)
+
+
+def test_a_published_flow_costs_two_questions_and_one_packet(
+    search: HolderSearch,
+) -> None:
+    asked = begin(search)
+    assert len(sent(asked, HolderAsked)) == 2
+    assert not sent(asked, QueriedPacket)
+    offered = answer(search, HolderTold(KEY, 'a5'))
+    assert [send.to.port for send in sent(offered, QueriedPacket)] == [5]
+    found = answer(search, FlowFound(KEY, 'a5'))
+    assert HolderFound(KEY, 'a5', ()) in found
+
+
+def test_a_directory_that_is_down_costs_its_time_and_not_the_flow(
+    search: HolderSearch,
+) -> None:
+    begin(search)
+    assert search.wake_at <= 0.03
+    assert sent(search.handle(Tick(), search.wake_at), QueriedPacket)
+
+
+def test_the_own_directory_answers_at_once() -> None:
+    search = search_of(directories_of(KEY, NAMES)[0])
+    answer(search, HoldingsPublished('a9', (KEY,)))
+    offered = begin(search)
+    assert [send.to.port for send in sent(offered, QueriedPacket)] == [9]
+
+
+def test_a_hint_that_is_wrong_does_not_end_the_search(search: HolderSearch) -> None:
+    begin(search)
+    answer(search, HolderTold(KEY, 'a5'))
+    actions = answer(search, FlowMissing(KEY, 'a5'))
+    assert len(sent(actions, QueriedPacket)) == 2
+    assert not any(isinstance(action, HolderMissing) for action in actions)
+
+
+def test_a_late_answer_of_a_directory_does_not_take_the_search_back(
+    search: HolderSearch,
+) -> None:
+    assert ask_all(search)
+    assert answer(search, HolderTold(KEY, 'a5')) == ()
+
+
+def test_a_wide_search_sends_keys_and_not_packets(search: HolderSearch) -> None:
+    """61 packets of 1.2 KB for one search fill a link of 10 Mbit/s for 60 ms."""
+    assert len(ask_all(search)) == AGENTS - 2
+
+
+def test_the_packet_follows_to_a_holder_found_by_its_key(search: HolderSearch) -> None:
+    holder = ask_all(search)[0].to.port
+    found = answer(search, FlowFound(KEY, f'a{holder}'))
+    assert HolderFound(KEY, f'a{holder}', (PACKET,)) in found
+
+
+def test_agents_that_restarted_are_offered_the_packet_a_few_at_a_time(
+    search: HolderSearch,
+) -> None:
+    queried = ask_all(search)
+    offered: list[Send] = []
+    for send in queried:
+        unsure = answer(search, FlowUnsure(KEY, f'a{send.to.port}'))
+        offered.extend(sent(unsure, QueriedPacket))
+    assert len(offered) == UNSURE_AT_ONCE
+    missing: list[Action] = []
+    for _ in range(AGENTS - 2):
+        agent = f'a{offered.pop(0).to.port}'
+        actions = answer(search, FlowMissing(KEY, agent))
+        offered.extend(sent(actions, QueriedPacket))
+        missing.extend(action for action in actions if isinstance(action, HolderMissing))
+    assert not offered
+    assert missing == [HolderMissing(KEY, PACKET)]
+
+
+def test_silent_agents_do_not_keep_others_from_their_offer(search: HolderSearch) -> None:
+    for send in ask_all(search):
+        answer(search, FlowUnsure(KEY, f'a{send.to.port}'))
+    assert len(sent(search.handle(Tick(), 1), QueriedPacket)) == UNSURE_AT_ONCE
+
+
+def test_a_flow_is_published_once_to_each_of_its_directories() -> None:
+    publisher = HoldingsPublisher('a1')
+    actions = publisher.handle(PublishRound((KEY,), PROCESSES), 0)
+    chosen = {PROCESSES[entry].endpoint for entry in directories_of(KEY, NAMES)}
+    assert {send.to for send in sent(actions, HoldingsPublished)} == chosen
+    assert not publisher.handle(PublishRound((KEY,), PROCESSES), 0.1)
+
+
+def test_a_restarted_directory_learns_its_flows_again() -> None:
+    publisher = HoldingsPublisher('a1')
+    publisher.handle(PublishRound((KEY,), PROCESSES), 0)
+    entry = directories_of(KEY, NAMES)[0]
+    process = PROCESSES[entry]._replace(incarnation=2)
+    actions = publisher.handle(PublishRound((KEY,), {**PROCESSES, entry: process}), 1)
+    assert [send.to for send in sent(actions, HoldingsPublished)] == [process.endpoint]
+
+
+def test_flows_move_only_from_a_directory_that_left() -> None:
+    publisher = HoldingsPublisher('a1')
+    keys = tuple(b'flow %d' % number for number in range(40))
+    publisher.handle(PublishRound(keys, PROCESSES), 0)
+    left = NAMES[3]
+    rest = {entry: process for entry, process in PROCESSES.items() if entry != left}
+    actions = publisher.handle(PublishRound(keys, rest), 1)
+    told = [key for send in sent(actions, HoldingsPublished) for key in send.message.keys]
+    assert sorted(told) == sorted(k for k in keys if left in directories_of(k, NAMES))
+
+
+def test_flows_are_published_again_before_a_directory_forgets_them() -> None:
+    publisher = HoldingsPublisher('a1')
+    directory = FlowDirectory()
+    now = 0.0
+    while now < 5 * REPUBLISH_S:
+        for send in sent(
+            publisher.handle(PublishRound((KEY,), PROCESSES), now),
+            HoldingsPublished,
+        ):
+            directory.handle(Received(SENDER, send.message), now)
+        directory.handle(Tick(), now)
+        assert directory.find(KEY) == 'a1'
+        now += 5
+
+
+def test_the_work_of_one_round_is_bounded() -> None:
+    publisher = HoldingsPublisher('a1')
+    keys = tuple(b'flow %d' % number for number in range(3 * FLOWS_PER_ROUND))
+    rounds = 0
+    while publisher.handle(PublishRound(keys, PROCESSES), rounds / 10):
+        rounds += 1
+    assert rounds == 3
--- a/packages/lookup/tests/test_search.py
+++ b/packages/lookup/tests/test_search.py
@@ -18,6 +18,7 @@
 from persimmonreach.lookup import (
     FlowFound,
     FlowMissing,
+    FlowQueried,
     HolderFound,
     HolderMissing,
     HolderSearch,
@@ -43,7 +44,8 @@
     return {
         f'a{action.to.port}'
         for action in actions
-        if isinstance(action, Send) and isinstance(action.message, QueriedPacket)
+        if isinstance(action, Send)
+        and isinstance(action.message, QueriedPacket | FlowQueried)
     }
 
 
--- a/packages/proof/tests/test_simulation.py
+++ b/packages/proof/tests/test_simulation.py
@@ -174,3 +174,25 @@
     world.run(4)
     requests = [run.request for run in world.runs]
     assert len(requests) == len(set(requests))
+
+
+def test_lookups_after_a_roll_do_not_grow_with_the_agents() -> None:
+    """The router's hash moves every flow; asking all agents fills thin links."""
+    world = World(seed=3, plan=Plan(entries_per_zone=3, agents=40))
+    world.build()
+    flows = world.open_many(2 * FLOWS, pause_s=0.3)
+    world.run(1)
+    before = sum(node.counts['packets_offered'] for node in world.agents.values())
+    for node in list(world.entries.values())[:3]:
+        node.handle(StopRequested())
+        world.run(1.5)
+        world.restart(node, 0.5)
+        world.run(1.5)
+    entries = world.entries.values()
+    searches = sum(node.counts['searches_started'] for node in entries)
+    hinted = sum(node.counts['searches_hinted'] for node in entries)
+    offered = sum(node.counts['packets_offered'] for node in world.agents.values())
+    assert searches > FLOWS
+    assert hinted > 0.9 * searches
+    assert offered == before
+    assert {flow.state for flow in flows} == {'open'}
