--- a/packages/forwarding/src/persimmonreach/forwarding/_agent.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_agent.py
@@ -42,7 +42,7 @@
 from persimmonreach.forwarding.messages import RoutedPacket
 from persimmonreach.lookup import (
     DirectoryProcess,
-    FlowQueried,
+    FlowsQueried,
     HoldingsPublisher,
     PublishRound,
     QueriedPacket,
@@ -270,8 +270,8 @@
                 return self._path.on_first(event.sender, message, now)
             case QueriedPacket(packet):
                 return self._path.on_queried(event.sender, packet, now)
-            case FlowQueried(key):
-                return self._path.on_asked(event.sender, key, now)
+            case FlowsQueried():
+                return self._path.on_asked(event.sender, message, now)
             case EntryStatus():
                 return self._translate(self._announcer.handle(event, now))
             case _:
--- a/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
@@ -32,7 +32,8 @@
 from persimmonreach.lookup import (
     FlowFound,
     FlowMissing,
-    FlowUnsure,
+    FlowsAnswered,
+    FlowsQueried,
     PacketReturned,
 )
 from persimmonreach.packets import (
@@ -200,16 +201,21 @@
     def on_asked(
         self,
         sender: Endpoint,
-        key: FlowKey,
+        asked: FlowsQueried,
         now: float,
     ) -> tuple[Action, ...]:
-        """Answer whether a flow is held here."""
-        flow = self._flows.find(key)
-        if flow is not None and flow.is_open:
-            return (Send(sender, FlowFound(key, self._agent)),)
-        if flow is None and self._is_surely_missing(now):
-            return (Send(sender, FlowMissing(key, self._agent)),)
-        return (Send(sender, FlowUnsure(key, self._agent)),)
+        """Answer which flows are held here."""
+        held: list[FlowKey] = []
+        unsure: list[FlowKey] = []
+        is_sure = self._is_surely_missing(now)
+        for key in asked.keys:
+            flow = self._flows.find(key)
+            if flow is not None and flow.is_open:
+                held.append(key)
+            elif flow is not None or not is_sure:
+                unsure.append(key)
+        answer = FlowsAnswered(asked.number, self._agent, tuple(held), tuple(unsure))
+        return (Send(sender, answer),)
 
     def on_backend_packet(self, packet: bytes, now: float) -> tuple[Action, ...]:
         """Decide on a packet from the backend server."""
--- a/packages/lookup/src/persimmonreach/lookup/_search.py
+++ b/packages/lookup/src/persimmonreach/lookup/_search.py
@@ -25,12 +25,12 @@
     HolderMissing,
     SearchHolder,
 )
-from persimmonreach.lookup._state import Phase, Search
+from persimmonreach.lookup._queries import KeyQueries
+from persimmonreach.lookup._state import Denials, Phase, Search
 from persimmonreach.lookup.messages import (
     FlowFound,
     FlowMissing,
-    FlowQueried,
-    FlowUnsure,
+    FlowsAnswered,
     HolderAsked,
     HolderTold,
     HoldingsPublished,
@@ -80,11 +80,13 @@
         self._entries: dict[EntryId, ListedEntry] = {}
         self._searches: dict[FlowKey, Search] = {}
         self._deadlines: Deadlines[FlowKey] = Deadlines()
+        self._queries = KeyQueries()
+        self._denials = Denials()
 
     @property
     def wake_at(self) -> float:
         """Time at which the next wait ends."""
-        return self._deadlines.next_at
+        return min(self._deadlines.next_at, self._queries.send_at)
 
     @property
     def flows_published(self) -> int:
@@ -104,6 +106,7 @@
                 self._entries = {listed.entry: listed for listed in entries}
                 return ()
             case Tick():
+                self._denials.forget(now)
                 return (*self._flows.handle(event, now), *self._on_tick(now))
             case _:
                 return (Count('lookup_unknown_events'),)
@@ -118,12 +121,8 @@
                     return ()
                 search.note_missing(agent)
                 return self._proceed(search, now)
-            case FlowUnsure(key, agent):
-                search = self._searches.get(key)
-                if search is None:
-                    return ()
-                search.note_unsure(agent)
-                return self._proceed(search, now)
+            case FlowsAnswered():
+                return self._on_answered(message, now)
             case HolderTold():
                 return self._on_told(message, now)
             case _:
@@ -135,6 +134,8 @@
             search.packets.append(event.packet)
             return ()
         search = Search(event, now)
+        for agent in self._denials.find(event.key, now):
+            search.note_missing(agent)
         self._searches[event.key] = search
         return (Count('searches_started'), *self._ask_directories(search, now))
 
@@ -188,8 +189,31 @@
             Decision('holder_found', found.key, found.agent, _inputs_of(search, now)),
         )
 
+    def _on_answered(
+        self,
+        answered: FlowsAnswered,
+        now: float,
+    ) -> tuple[Action, ...]:
+        agent = answered.agent
+        actions: list[Action] = []
+        for key in self._queries.take(answered.number, agent):
+            search = self._searches.get(key)
+            if search is None:
+                continue
+            if key in answered.held:
+                actions.extend(self._on_found(FlowFound(key, agent), now))
+                continue
+            if key in answered.unsure:
+                search.note_unsure(agent)
+            else:
+                search.note_missing(agent)
+            actions.extend(self._proceed(search, now))
+        return tuple(actions)
+
     def _on_tick(self, now: float) -> tuple[Action, ...]:
         actions: list[Action] = []
+        if now >= self._queries.send_at:
+            actions.extend(self._query(now))
         for key in self._deadlines.pop_due(now):
             actions.extend(self._advance(self._searches[key], now))
         return tuple(actions)
@@ -197,7 +221,7 @@
     def _proceed(self, search: Search, now: float) -> tuple[Action, ...]:
         """Go on after an answer that did not end the search."""
         offered = self._offer_unsure(search, now)
-        if offered or search.waiting:
+        if offered or search.waiting or search.phase is Phase.GATHERING:
             return offered
         return self._advance(search, now)
 
@@ -214,11 +238,11 @@
             ranked = rank_rows(search.key, _askable(rows, search))
             self._deadlines.put(search.key, now + FIRST_WAIT_S)
             asked = self._offer(search, ranked[:FIRST_ASKED])
-        else:
-            search.phase = Phase.ALL
-            self._deadlines.put(search.key, now + LAST_WAIT_S)
-            asked = self._query(search, list(_askable(self._directory.rows, search)))
-        return asked or self._advance(search, now)
+            return asked or self._advance(search, now)
+        if search.phase is Phase.LIKELY:
+            search.phase = Phase.GATHERING
+            self._queries.add(search.key, now)
+        return ()
 
     def _offer(self, search: Search, rows: Iterable[AgentRow]) -> tuple[Action, ...]:
         queried = QueriedPacket(search.first)
@@ -228,13 +252,22 @@
             sends.append(Send(row.endpoint, queried))
         return tuple(sends)
 
-    def _query(self, search: Search, rows: Iterable[AgentRow]) -> tuple[Action, ...]:
-        queried = FlowQueried(search.key)
-        sends = []
-        for row in rows:
-            search.note_queried(row.agent)
-            sends.append(Send(row.endpoint, queried))
-        return tuple(sends)
+    def _query(self, now: float) -> tuple[Action, ...]:
+        """Ask all agents that were not asked yet, each for all flows at once."""
+        actions: list[Action] = []
+        for key in self._queries.take_waiting():
+            search = self._searches.get(key)
+            if search is None:
+                continue
+            search.phase = Phase.ALL
+            self._deadlines.put(key, now + LAST_WAIT_S)
+            rows = tuple(_askable(self._directory.rows, search))
+            for row in rows:
+                search.note_asked(row.agent)
+                self._queries.ask(row, key)
+            if not (rows or search.waiting):
+                actions.extend(self._advance(search, now))
+        return (*actions, *self._queries.send())
 
     def _offer_unsure(self, search: Search, now: float) -> tuple[Action, ...]:
         found = (
@@ -250,6 +283,7 @@
         self._searches.pop(key)
         self._deadlines.cancel(key)
         inputs = _inputs_of(search, now)
+        self._denials.put(key, search.missing, now)
         if search.waiting or not self._directory.is_read:
             return (
                 Count('searches_unfinished'),
--- a/packages/lookup/src/persimmonreach/lookup/_state.py
+++ b/packages/lookup/src/persimmonreach/lookup/_state.py
@@ -2,13 +2,16 @@
 
 from collections import deque
 from enum import IntEnum
-from typing import Final
+from typing import Final, NamedTuple
 
-from persimmonreach.core import AgentId
+from persimmonreach.core import AgentId, FlowKey
 from persimmonreach.lookup._events import SearchHolder
 
 # A caller has at most 16 packets in flight.
 LARGEST_QUEUE: Final = 16
+# Flows do not move, so an agent that did not hold a flow is not asked again by
+# the next search. A caller may use its port for another flow later than this.
+DENIAL_S: Final = 5
 
 
 class Phase(IntEnum):
@@ -22,6 +25,8 @@
         The agent that a directory has named.
     LIKELY
         The agents among which placement would have chosen.
+    GATHERING
+        Nobody, until the questions for several flows are sent together.
     ALL
         All other agents.
 
@@ -30,7 +35,8 @@
     DIRECTORIES = 0
     HINT = 1
     LIKELY = 2
-    ALL = 3
+    GATHERING = 3
+    ALL = 4
 
 
 class Search:
@@ -79,8 +85,7 @@
         self._offered: set[AgentId] = set()
         self._unsure: deque[AgentId] = deque()
         if event.missing_at is not None:
-            self.asked.add(event.missing_at)
-            self.missing.add(event.missing_at)
+            self.note_missing(event.missing_at)
 
     @property
     def latest(self) -> bytes:
@@ -89,11 +94,11 @@
 
     def note_offered(self, agent: AgentId) -> None:
         """Note that an agent is offered the packet."""
-        self.note_queried(agent)
+        self.note_asked(agent)
         self._offered.add(agent)
         self.offers_due.add(agent)
 
-    def note_queried(self, agent: AgentId) -> None:
+    def note_asked(self, agent: AgentId) -> None:
         """Note that an agent is asked for its answer."""
         self.asked.add(agent)
         self.waiting.add(agent)
@@ -101,6 +106,7 @@
     def note_missing(self, agent: AgentId) -> None:
         """Note that an agent does not hold the flow."""
         self.missing.add(agent)
+        self.asked.add(agent)
         self.waiting.discard(agent)
         self.offers_due.discard(agent)
 
@@ -118,3 +124,36 @@
         """Return the packets that the holder has not got."""
         first = () if holder in self._offered else (self.first,)
         return (*first, *self.packets)
+
+
+class _Denial(NamedTuple):
+    until: float
+    agents: frozenset[AgentId]
+
+
+class Denials:
+    """Agents that were found not to hold a flow by a search without result."""
+
+    def __init__(self) -> None:
+        self._denied: dict[FlowKey, _Denial] = {}
+
+    def put(self, key: FlowKey, agents: set[AgentId], now: float) -> None:
+        """Note the agents that do not hold a flow."""
+        # The oldest come first in the dictionary.
+        self._denied.pop(key, None)
+        self._denied[key] = _Denial(now + DENIAL_S, frozenset(agents))
+
+    def find(self, key: FlowKey, now: float) -> frozenset[AgentId]:
+        """Return the agents that do not hold a flow, as far as is known."""
+        denial = self._denied.get(key)
+        if denial is None or now >= denial.until:
+            return frozenset()
+        return denial.agents
+
+    def forget(self, now: float) -> None:
+        """Forget what is too old."""
+        while self._denied:
+            key = next(iter(self._denied))
+            if now < self._denied[key].until:
+                return
+            self._denied.pop(key)
--- a/packages/lookup/src/persimmonreach/lookup/messages.py
+++ b/packages/lookup/src/persimmonreach/lookup/messages.py
@@ -37,20 +37,42 @@
     packet: bytes
 
 
-class FlowQueried(NamedTuple):
-    """Question to an agent whether it holds a flow, without a packet.
+class FlowsQueried(NamedTuple):
+    """Question to an agent which of some flows it holds, without packets.
+
+    Attributes
+    ----------
+    number
+        Number of the question, repeated in the answer.
+    keys
+        Flows that are searched for.
 
-    Answered by ``FlowFound``, ``FlowMissing`` or ``FlowUnsure``.
     """
 
-    key: FlowKey
+    number: int
+    keys: tuple[FlowKey, ...]
 
 
-class FlowUnsure(NamedTuple):
-    """Only a packet of the flow can show whether this agent holds it."""
+class FlowsAnswered(NamedTuple):
+    """Answer to ``FlowsQueried``; all flows that it does not name are missing.
 
-    key: FlowKey
+    Attributes
+    ----------
+    number
+        Number of the question.
+    agent
+        Agent that answers.
+    held
+        Flows that it holds.
+    unsure
+        Flows of which only a packet can show whether it holds them.
+
+    """
+
+    number: int
     agent: AgentId
+    held: tuple[FlowKey, ...] = ()
+    unsure: tuple[FlowKey, ...] = ()
 
 
 class HoldingsPublished(NamedTuple):
@@ -79,8 +101,8 @@
         31: FlowFound,
         32: FlowMissing,
         33: PacketReturned,
-        34: FlowQueried,
-        35: FlowUnsure,
+        34: FlowsQueried,
+        35: FlowsAnswered,
         36: HoldingsPublished,
         37: HolderAsked,
         38: HolderTold,
--- a/packages/lookup/tests/test_directories.py
+++ b/packages/lookup/tests/test_directories.py
@@ -19,8 +19,8 @@
     FlowDirectory,
     FlowFound,
     FlowMissing,
-    FlowQueried,
-    FlowUnsure,
+    FlowsAnswered,
+    FlowsQueried,
     HolderAsked,
     HolderFound,
     HolderMissing,
@@ -86,8 +86,18 @@
     answer(search, HolderTold(KEY, ''))
     likely = sent(answer(search, HolderTold(KEY, '')), QueriedPacket)
     for send in likely:
-        actions = answer(search, FlowMissing(KEY, f'a{send.to.port}'))
-    return sent(actions, FlowQueried)
+        answer(search, FlowMissing(KEY, f'a{send.to.port}'))
+    return sent(search.handle(Tick(), search.wake_at), FlowsQueried)
+
+
+def answer_query(
+    search: HolderSearch,
+    send: Send,
+    held: tuple[bytes, ...] = (),
+    unsure: tuple[bytes, ...] = (),
+) -> tuple[Action, ...]:
+    agent = f'a{send.to.port}'
+    return answer(search, FlowsAnswered(send.message.number, agent, held, unsure))
 
 
 def test_a_published_flow_costs_two_questions_and_one_packet(
@@ -138,9 +148,59 @@
 
 
 def test_the_packet_follows_to_a_holder_found_by_its_key(search: HolderSearch) -> None:
-    holder = ask_all(search)[0].to.port
-    found = answer(search, FlowFound(KEY, f'a{holder}'))
-    assert HolderFound(KEY, f'a{holder}', (PACKET,)) in found
+    query = ask_all(search)[0]
+    found = answer_query(search, query, held=(KEY,))
+    assert HolderFound(KEY, f'a{query.to.port}', (PACKET,)) in found
+
+
+def test_flows_that_are_searched_for_together_share_their_messages(
+    search: HolderSearch,
+) -> None:
+    """After a restart every flow of a zone is searched for at once."""
+    keys = [b'flow %d' % number for number in range(50)]
+    for key in keys:
+        search.handle(SearchHolder(key, 'svc', PACKET), 0)
+    queried = []
+    now = 0.0
+    while not queried:
+        now = search.wake_at
+        queried = sent(search.handle(Tick(), now), FlowsQueried)
+    assert len(queried) <= AGENTS
+    assert {key for send in queried for key in send.message.keys} == set(keys)
+
+
+def test_no_reset_while_the_questions_to_all_are_being_gathered(
+    search: HolderSearch,
+) -> None:
+    """An answer of a likely agent that came late ended the search."""
+    begin(search)
+    likely = sent(search.handle(Tick(), search.wake_at), QueriedPacket)
+    assert not search.handle(Tick(), search.wake_at)
+    for send in likely:
+        assert not answer(search, FlowMissing(KEY, f'a{send.to.port}'))
+    assert sent(search.handle(Tick(), search.wake_at), FlowsQueried)
+
+
+def test_an_agent_that_does_not_hold_a_flow_is_not_asked_for_it_again(
+    search: HolderSearch,
+) -> None:
+    """With one silent agent, each retransmission asked all others again."""
+    queried = ask_all(search)
+    for send in queried[1:]:
+        answer_query(search, send)
+    ended = search.handle(Tick(), search.wake_at)
+    assert not any(isinstance(action, HolderMissing) for action in ended)
+    search.handle(SearchHolder(KEY, 'svc', PACKET), 0.2)
+    asked = sent(search.handle(Tick(), search.wake_at), QueriedPacket)
+    assert [send.to for send in asked] == [queried[0].to]
+
+
+def test_an_answer_to_another_agents_question_says_nothing(
+    search: HolderSearch,
+) -> None:
+    first, second = ask_all(search)[:2]
+    found = answer_query(search, second._replace(message=first.message), held=(KEY,))
+    assert not any(isinstance(action, HolderFound) for action in found)
 
 
 def test_agents_that_restarted_are_offered_the_packet_a_few_at_a_time(
@@ -149,7 +209,7 @@
     queried = ask_all(search)
     offered: list[Send] = []
     for send in queried:
-        unsure = answer(search, FlowUnsure(KEY, f'a{send.to.port}'))
+        unsure = answer_query(search, send, unsure=(KEY,))
         offered.extend(sent(unsure, QueriedPacket))
     assert len(offered) == UNSURE_AT_ONCE
     missing: list[Action] = []
@@ -164,7 +224,7 @@
 
 def test_silent_agents_do_not_keep_others_from_their_offer(search: HolderSearch) -> None:
     for send in ask_all(search):
-        answer(search, FlowUnsure(KEY, f'a{send.to.port}'))
+        answer_query(search, send, unsure=(KEY,))
     assert len(sent(search.handle(Tick(), 1), QueriedPacket)) == UNSURE_AT_ONCE
 
 
--- a/packages/lookup/tests/test_search.py
+++ b/packages/lookup/tests/test_search.py
@@ -1,6 +1,7 @@
 """Guards against flows that are not found, and resets that were not earned."""
 
 from collections.abc import Sequence
+from math import inf
 from random import Random
 
 import pytest
@@ -18,7 +19,7 @@
 from persimmonreach.lookup import (
     FlowFound,
     FlowMissing,
-    FlowQueried,
+    FlowsQueried,
     HolderFound,
     HolderMissing,
     HolderSearch,
@@ -45,7 +46,7 @@
         f'a{action.to.port}'
         for action in actions
         if isinstance(action, Send)
-        and isinstance(action.message, QueriedPacket | FlowQueried)
+        and isinstance(action.message, QueriedPacket | FlowsQueried)
     }
 
 
@@ -54,7 +55,14 @@
 
 
 def miss(search: HolderSearch, agent: str, now: float) -> tuple[Action, ...]:
-    return search.handle(Received(Endpoint('x', 1), FlowMissing(KEY, agent)), now)
+    actions = search.handle(Received(Endpoint('x', 1), FlowMissing(KEY, agent)), now)
+    return (*actions, *send_gathered(search))
+
+
+def send_gathered(search: HolderSearch) -> tuple[Action, ...]:
+    """Let the questions that are gathered for several flows be sent."""
+    send_at = search._queries.send_at
+    return () if send_at == inf else search.handle(Tick(), send_at)
 
 
 def find(search: HolderSearch, agent: str, now: float) -> tuple[Action, ...]:
@@ -85,6 +93,8 @@
     search = HolderSearch(directory_of(7))
     search.handle(SEARCH, 0)
     assert search.wake_at <= 0.05
+    search.handle(Tick(), search.wake_at)
+    assert search.wake_at <= 0.05
     assert asked(search.handle(Tick(), search.wake_at))
 
 
