--- a/packages/daemon/src/persimmonreach/daemon/_entry_status.py
+++ b/packages/daemon/src/persimmonreach/daemon/_entry_status.py
@@ -29,6 +29,7 @@
     {
         AgentState.STARTING: 'joining',
         AgentState.DOWN: 'down',
+        AgentState.STOPPING: 'stopping',
         AgentState.READY: 'active',
         AgentState.DRAINING: 'draining',
         AgentState.LEFT: 'left',
--- a/packages/discovery/src/persimmonreach/discovery/_rows.py
+++ b/packages/discovery/src/persimmonreach/discovery/_rows.py
@@ -99,6 +99,16 @@
         """Whether the agent should have been heard by now."""
         return now - self._heard_at > SILENT_AFTER_S
 
+    def may_hold_flows(self, now: float) -> bool:
+        """Whether a flow may be held here, as far as the agent has told.
+
+        An agent that was lost beside a backend server that was down leaves no
+        flows behind.
+        """
+        if self.status.state is AgentState.DOWN:
+            return not self.is_silent(now)
+        return self.status.state is not AgentState.LEFT
+
     def is_suspected(self, now: float) -> bool:
         """Whether the agent did not answer an offer and was not heard since."""
         return now < self._suspected_until
--- a/packages/discovery/src/persimmonreach/discovery/messages.py
+++ b/packages/discovery/src/persimmonreach/discovery/messages.py
@@ -26,9 +26,11 @@
     DRAINING
         The backend server is leaving; its flows stay.
     DOWN
-        The backend server does not answer.
+        The backend server refuses connections, so it holds no flows.
     LEFT
         The backend server is gone, and its flows with it.
+    STOPPING
+        The agent ends beside a backend server that goes on with its flows.
 
     """
 
@@ -37,6 +39,7 @@
     DRAINING = 2
     DOWN = 3
     LEFT = 4
+    STOPPING = 5
 
 
 class AgentStatus(NamedTuple):
--- a/packages/forwarding/src/persimmonreach/forwarding/_agent.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_agent.py
@@ -246,7 +246,7 @@
                 # process of the agent.
                 self._is_stopping = True
                 is_gone = self._is_left or self._liveness.is_down
-                state = AgentState.LEFT if is_gone else AgentState.DOWN
+                state = AgentState.LEFT if is_gone else AgentState.STOPPING
                 return self._set_state(state, now)
             case _:
                 return (Count('agent_unknown_events'),)
@@ -297,7 +297,7 @@
         actions: tuple[Action, ...] = ()
         if is_restart:
             actions = self._path.reset_all()
-        state = AgentState.DOWN if self._is_stopping else event.state
+        state = AgentState.STOPPING if self._is_stopping else event.state
         self._gate.set_state(state, now + event.cold_s)
         return (*actions, *self._announce(event.slots, now))
 
--- a/packages/lookup/src/persimmonreach/lookup/_queries.py
+++ b/packages/lookup/src/persimmonreach/lookup/_queries.py
@@ -8,9 +8,12 @@
 from persimmonreach.discovery import AgentRow
 from persimmonreach.lookup.messages import FlowsQueried
 
-# Flows that are searched for within this time share their messages. After a
+# Flows that are searched for within this time, for each agent to ask, share
+# their messages: an entry instance asks at most 1,000 agents a second. After a
 # restart every flow of a zone is searched for at once.
-GATHER_S: Final = 0.015
+GATHER_PER_AGENT_S: Final = 0.001
+# Longest time for which flows are gathered; callers retransmit after 0.2 s.
+LONGEST_GATHER_S: Final = 0.1
 # Keys of 14 bytes that fit a datagram of 1,200 bytes.
 KEYS_PER_MESSAGE: Final = 64
 # Answers come within 0.1 s; at 70 agents this holds the questions of 0.4 s.
@@ -42,10 +45,10 @@
         """Time at which the questions are sent; infinite if there are none."""
         return self._send_at
 
-    def add(self, key: FlowKey, now: float) -> None:
+    def add(self, key: FlowKey, agents: int, now: float) -> None:
         """Gather a flow that all agents are asked for."""
         if not self._waiting:
-            self._send_at = now + GATHER_S
+            self._send_at = now + min(agents * GATHER_PER_AGENT_S, LONGEST_GATHER_S)
         self._waiting.append(key)
 
     def take_waiting(self) -> tuple[FlowKey, ...]:
--- a/packages/lookup/src/persimmonreach/lookup/_search.py
+++ b/packages/lookup/src/persimmonreach/lookup/_search.py
@@ -17,7 +17,7 @@
     StateMachine,
     Tick,
 )
-from persimmonreach.discovery import AgentDirectory, AgentRow, AgentState, ListedEntry
+from persimmonreach.discovery import AgentDirectory, AgentRow, ListedEntry
 from persimmonreach.lookup._directories import FlowDirectory, directories_of
 from persimmonreach.lookup._events import (
     EntriesChanged,
@@ -144,7 +144,7 @@
         chosen = directories_of(key, self._entries)
         if self._own in chosen:
             chosen.remove(self._own)
-            hinted = self._hinted(search, self._flows.find(key))
+            hinted = self._hinted(search, self._flows.find(key), now)
             if hinted:
                 return self._try_hint(search, hinted, now)
         search.directories_due = len(chosen)
@@ -159,14 +159,19 @@
         if search is None or search.phase is not Phase.DIRECTORIES:
             return ()
         search.directories_due -= 1
-        hinted = self._hinted(search, told.agent)
+        hinted = self._hinted(search, told.agent, now)
         if hinted:
             return self._try_hint(search, hinted, now)
         return () if search.directories_due else self._advance(search, now)
 
-    def _hinted(self, search: Search, agent: AgentId | None) -> list[AgentRow]:
+    def _hinted(
+        self,
+        search: Search,
+        agent: AgentId | None,
+        now: float,
+    ) -> list[AgentRow]:
         row = self._directory.find(agent) if agent else None
-        return [] if row is None else list(_askable((row,), search))
+        return [] if row is None else list(_askable((row,), search, now))
 
     def _try_hint(
         self,
@@ -235,13 +240,14 @@
         if search.phase < Phase.LIKELY:
             search.phase = Phase.LIKELY
             rows = self._directory.of_service(search.service).values()
-            ranked = rank_rows(search.key, _askable(rows, search))
+            ranked = rank_rows(search.key, _askable(rows, search, now))
             self._deadlines.put(search.key, now + FIRST_WAIT_S)
             asked = self._offer(search, ranked[:FIRST_ASKED])
             return asked or self._advance(search, now)
         if search.phase is Phase.LIKELY:
             search.phase = Phase.GATHERING
-            self._queries.add(search.key, now)
+            self._deadlines.cancel(search.key)
+            self._queries.add(search.key, len(self._directory), now)
         return ()
 
     def _offer(self, search: Search, rows: Iterable[AgentRow]) -> tuple[Action, ...]:
@@ -261,7 +267,7 @@
                 continue
             search.phase = Phase.ALL
             self._deadlines.put(key, now + LAST_WAIT_S)
-            rows = tuple(_askable(self._directory.rows, search))
+            rows = tuple(_askable(self._directory.rows, search, now))
             for row in rows:
                 search.note_asked(row.agent)
                 self._queries.ask(row, key)
@@ -296,11 +302,13 @@
         )
 
 
-def _askable(rows: Iterable[AgentRow], search: Search) -> Iterable[AgentRow]:
+def _askable(
+    rows: Iterable[AgentRow],
+    search: Search,
+    now: float,
+) -> Iterable[AgentRow]:
     return (
-        row
-        for row in rows
-        if row.agent not in search.asked and row.status.state is not AgentState.LEFT
+        row for row in rows if row.agent not in search.asked and row.may_hold_flows(now)
     )
 
 
--- a/packages/lookup/tests/test_directories.py
+++ b/packages/lookup/tests/test_directories.py
@@ -278,3 +278,36 @@
     while publisher.handle(PublishRound(keys, PROCESSES), rounds / 10):
         rounds += 1
     assert rounds == 3
+
+
+def lose_agent(state: AgentState) -> HolderSearch:
+    """Return a search among two agents, one of them silent since ``state``."""
+    agents = AgentDirectory(EntryStatus('e0', 'z'))
+    agents.handle(AgentsListed(()), 0)
+    lost = AgentStatus('a0', 1, 1, 'svc', 'z', state)
+    agents.handle(Received(Endpoint('10.0.0.1', 0), lost), 0)
+    live = AgentStatus('a1', 1, 1, 'svc', 'z', AgentState.READY)
+    agents.handle(Received(Endpoint('10.0.0.1', 1), live), 4)
+    return HolderSearch(agents, 'e0')
+
+
+@pytest.mark.parametrize(
+    ('state', 'is_reset'),
+    [
+        (AgentState.DOWN, True),
+        (AgentState.LEFT, True),
+        (AgentState.STOPPING, False),
+        (AgentState.READY, False),
+    ],
+)
+def test_only_flows_that_a_lost_agent_may_hold_are_kept(
+    state: AgentState,
+    is_reset: bool,
+) -> None:
+    """Callers waited for deadlines since an agent was lost that held no flows."""
+    search = lose_agent(state)
+    actions = list(search.handle(SearchHolder(KEY, 'svc', PACKET), 4))
+    actions.extend(search.handle(Received(SENDER, FlowMissing(KEY, 'a1')), 4.01))
+    while search.wake_at < 10:
+        actions.extend(search.handle(Tick(), search.wake_at))
+    assert any(isinstance(action, HolderMissing) for action in actions) is is_reset
--- a/packages/placement/src/persimmonreach/placement/_gate.py
+++ b/packages/placement/src/persimmonreach/placement/_gate.py
@@ -17,6 +17,7 @@
         AgentState.DRAINING: RefusalReason.DRAINING,
         AgentState.LEFT: RefusalReason.DRAINING,
         AgentState.DOWN: RefusalReason.DOWN,
+        AgentState.STOPPING: RefusalReason.STOPPING,
     },
 )
 
--- a/packages/placement/src/persimmonreach/placement/_placement.py
+++ b/packages/placement/src/persimmonreach/placement/_placement.py
@@ -46,11 +46,14 @@
 FIRST_PACKET_LIFE_S: Final = 1.4
 _MS_PER_S: Final = 1000
 # Refusals that the same agent may take back within the life of a first packet.
-_PASSING_REASONS: Final = frozenset((RefusalReason.COLD, RefusalReason.DOWN))
+_PASSING_REASONS: Final = frozenset(
+    (RefusalReason.COLD, RefusalReason.DOWN, RefusalReason.STOPPING),
+)
 _STATES_OF_REFUSALS: Final = MappingProxyType(
     {
         RefusalReason.DRAINING: AgentState.DRAINING,
         RefusalReason.DOWN: AgentState.DOWN,
+        RefusalReason.STOPPING: AgentState.STOPPING,
     },
 )
 
--- a/packages/placement/src/persimmonreach/placement/messages.py
+++ b/packages/placement/src/persimmonreach/placement/messages.py
@@ -17,6 +17,7 @@
     DOWN = 4
     ZONE_OUT = 5
     OTHER_SERVICE = 6
+    STOPPING = 7
 
 
 class FirstPacket(NamedTuple):
