--- a/packages/discovery/src/persimmonreach/discovery/__init__.py
+++ b/packages/discovery/src/persimmonreach/discovery/__init__.py
@@ -3,6 +3,7 @@
 from persimmonreach.discovery._announcer import StatusAnnouncer
 from persimmonreach.discovery._directory import AgentDirectory
 from persimmonreach.discovery._events import (
+    AgentsDoubted,
     AgentsListed,
     EntriesListed,
     LoadChanged,
@@ -45,6 +46,7 @@
     'AgentRow',
     'AgentState',
     'AgentStatus',
+    'AgentsDoubted',
     'AgentsListed',
     'EntriesListed',
     'EntryStatus',
--- a/packages/discovery/src/persimmonreach/discovery/_events.py
+++ b/packages/discovery/src/persimmonreach/discovery/_events.py
@@ -72,6 +72,10 @@
     zones_out: tuple[Zone, ...]
 
 
+class AgentsDoubted(NamedTuple):
+    """Action: read the registrations again, since an agent is not heard."""
+
+
 class PeersChanged(NamedTuple):
     """Action: the addresses of the other entry instances have changed."""
 
--- a/packages/discovery/src/persimmonreach/discovery/tasks.py
+++ b/packages/discovery/src/persimmonreach/discovery/tasks.py
@@ -100,16 +100,24 @@
 
     def start(self) -> None:
         """Start to register."""
+        super().start()
         self._spawn(self._keep_registered)
 
     def receive(self, message: Any) -> None:
-        """Ignore the mailbox: the task acts on time only."""
+        """Read the other registrations again; the message asks for it."""
+        try:
+            self._read_others()
+        except StoreError as error:
+            self._sink(Count('registrations_not_read'))
+            self._sink(StateChange('registrations_not_read', '', str(error)))
 
     def tick(self) -> None:
         """Do nothing: the task waits for the store."""
 
     def withdraw(self) -> None:
         """Remove the registration; it lapses if the store does not answer."""
+        # A renewal under way would register again.
+        self.end_greenlets()
         try:
             self._registration.withdraw()
         except StoreError as error:
--- a/packages/discovery/tests/test_directory.py
+++ b/packages/discovery/tests/test_directory.py
@@ -86,3 +86,49 @@
     again = directory.handle(Received(PLACE, status(3, state=AgentState.DRAINING)), 2)
     assert StateChange('agent_state', 'a1', 'draining') in drained
     assert not any(isinstance(action, StateChange) for action in again)
+
+
+LISTED = AgentsListed((ListedAgent('a1', 'svc', 'z', PLACE),))
+EMPTY = AgentsListed(())
+
+
+def heard_at(now: float) -> AgentDirectory:
+    directory = AgentDirectory(OWN)
+    directory.handle(LISTED, now)
+    directory.handle(Received(PLACE, status()), now)
+    return directory
+
+
+def test_an_agent_that_is_neither_heard_nor_registered_is_gone() -> None:
+    """Its flows are to be reset, and not to wait for their deadlines."""
+    directory = heard_at(0)
+    directory.handle(EMPTY, 7)
+    assert directory.find('a1')
+    gone = directory.handle(EMPTY, 9.5)
+    assert StateChange('agent_gone', 'a1', 'not registered') in gone
+    assert directory.find('a1') is None
+
+
+def test_an_agent_that_is_heard_needs_no_registration() -> None:
+    """The store revokes registrations of live agents while it is disturbed."""
+    directory = heard_at(0)
+    for now in range(1, 10):
+        directory.handle(Received(PLACE, status(now + 1)), now)
+        directory.handle(EMPTY, now)
+    assert directory.find('a1')
+
+
+def test_a_registration_that_comes_back_keeps_a_silent_agent() -> None:
+    """Registrations lapse while the store is away and are back within 2 s."""
+    directory = heard_at(0)
+    directory.handle(EMPTY, 7)
+    directory.handle(LISTED, 8)
+    directory.handle(EMPTY, 9.5)
+    assert directory.find('a1')
+
+
+def test_rows_that_peers_tell_say_nothing_of_other_agents() -> None:
+    directory = heard_at(0)
+    for now in (7, 9.5, 12):
+        directory.handle(AgentsListed((), is_complete=False), now)
+    assert directory.find('a1')
--- a/packages/forwarding/src/persimmonreach/forwarding/_entry.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_entry.py
@@ -19,6 +19,7 @@
 from persimmonreach.discovery import (
     AgentDirectory,
     AgentRow,
+    AgentsDoubted,
     AgentsListed,
     AgentStatus,
     EntriesListed,
@@ -39,6 +40,10 @@
 from persimmonreach.rules import RulesChanged, TrafficRules
 
 _TICK_S: Final = 0.1
+# The registrations are read this often while an agent is silent; all entry
+# instances together read them ten times a second at most.
+LEAST_CHECK_S: Final = 1.2
+CHECK_PER_ENTRY_S: Final = 0.1
 # Integers of this size keep their value in every codec.
 _INCARNATION_BITS: Final = 53
 _SEARCH_MESSAGES: Final = tuple(LOOKUP_TYPES.values())
@@ -96,6 +101,7 @@
         self._path = CallerPath(packets, self._directory, own.entry)
         self._path.on_search(EntriesChanged(self._peers.entries), 0)
         self._tick_at: float = 0
+        self._check_at: float = 0
         self._last_packet_at = -inf
 
     @property
@@ -165,6 +171,7 @@
             case RulesChanged():
                 return self._on_rules(event, now)
             case AgentsListed():
+                self._check_at = now + LEAST_CHECK_S
                 return self._directory.handle(event, now)
             case EntriesListed():
                 return self._on_peers(event, now)
@@ -235,4 +242,13 @@
             *actions,
             *self._directory.handle(event, now),
             *self._on_peers(event, now),
+            *self._check_registrations(now),
         )
+
+    def _check_registrations(self, now: float) -> tuple[Action, ...]:
+        """Ask for the registrations while an agent is silent."""
+        if now < self._check_at or not self._directory.is_any_doubtful(now):
+            return ()
+        period = len(self._peers.entries) * CHECK_PER_ENTRY_S
+        self._check_at = now + max(LEAST_CHECK_S, period)
+        return (AgentsDoubted(),)
--- a/packages/process/src/persimmonreach/process/_entry.py
+++ b/packages/process/src/persimmonreach/process/_entry.py
@@ -10,6 +10,7 @@
 from persimmonreach.discovery import (
     ENTRIES_PREFIX,
     PROCESSES_PREFIX,
+    AgentsDoubted,
     AgentsListed,
     EntriesListed,
     ListedEntry,
@@ -189,6 +190,7 @@
                 RulesChanged: (self._task,),
                 AgentsListed: (self._task,),
                 EntriesListed: (self._task,),
+                AgentsDoubted: (self._registration,),
                 RulesOutdated: (follower,),
                 WatchAssigned: (follower,),
             },
--- a/packages/runtime/src/persimmonreach/runtime/_task.py
+++ b/packages/runtime/src/persimmonreach/runtime/_task.py
@@ -68,9 +68,13 @@
 
         Messages that still wait are not handled. Stopping twice does no harm.
         """
-        gevent.killall(self._greenlets)
+        self.end_greenlets()
         self._resources.close()
 
+    def end_greenlets(self) -> None:
+        """End the greenlets, and keep what the task has opened."""
+        gevent.killall(self._greenlets)
+
     @abstractmethod
     def receive(self, message: Any) -> None:
         """Handle one message from the mailbox."""
