--- a/packages/discovery/src/persimmonreach/discovery/_directory.py
+++ b/packages/discovery/src/persimmonreach/discovery/_directory.py
@@ -174,17 +174,18 @@
             for agent, row in self._rows.items()
             if row.is_silent(now) and agent not in listed
         ]
-        self._absent_since = {
-            agent: self._absent_since.get(agent, now) for agent in absent
-        }
+        before = self._absent_since
+        self._absent_since = {agent: before.get(agent, now) for agent in absent}
         gone = [
             agent
             for agent, since in self._absent_since.items()
             if now - since >= ABSENCE_S
         ]
-        for name in gone:
-            self._drop(name)
-        return tuple(StateChange('agent_gone', name, 'not registered') for name in gone)
+        return tuple(self._note_gone(agent) for agent in gone)
+
+    def _note_gone(self, agent: AgentId) -> StateChange:
+        self._drop(agent)
+        return StateChange('agent_gone', agent, 'not registered')
 
     def _on_tick(self, now: float) -> tuple[Action, ...]:
         self._forget_silent(now)
--- a/packages/forwarding/src/persimmonreach/forwarding/_agent.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_agent.py
@@ -69,6 +69,9 @@
         Number of this process; differs from that of each earlier one.
     seeds
         Addresses of entry instances that are told as long as none is known.
+    born
+        Start of this process in Unix milliseconds; None if the backend server
+        does not report its own start by the same clock.
 
     """
 
@@ -77,6 +80,7 @@
     zone: Zone
     incarnation: Incarnation
     seeds: tuple[Endpoint, ...] = ()
+    born: int | None = None
 
 
 class AgentPolicy(NamedTuple):
@@ -89,11 +93,15 @@
         service, or go on until they close.
     probing
         When silent flows are probed.
+    shares_clock_with_backend
+        Whether the backend server reports its start by the clock of the
+        agent's instance.
 
     """
 
     ends_flows_with_zone: bool = False
     probing: ProbeSettings = ProbeSettings()
+    shares_clock_with_backend: bool = False
 
 
 KEEPS_FLOWS: Final = AgentPolicy()
@@ -129,7 +137,7 @@
     ) -> None:
         self._policy = policy
         self._gate = AdmissionGate(identity.service, identity.zone)
-        self._run = BackendRun()
+        self._run = BackendRun(identity.born)
         self._liveness = BackendLiveness()
         self._path = BackendPath(
             identity.agent,
--- a/packages/forwarding/src/persimmonreach/forwarding/_backend.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_backend.py
@@ -8,6 +8,10 @@
 # A backend server that has reported no more often than this was started while
 # the agent was listening, so the agent has seen all of its flows.
 _FIRST_REPORTS: Final = 2
+# An earlier process of the agent that gave flows to a backend server started
+# this close to the present process would have started, served, ended and been
+# started again within this time; a start alone takes half of it.
+_STARTED_TOGETHER_MS: Final = 500
 # Longest life of a flow. After it, the agent has seen all flows of a backend
 # server that was running before the agent.
 _FLOW_LIFE_S: Final = 60
@@ -23,9 +27,17 @@
 
     A run is named by id and time of start. The times are never compared: the
     clock of the backend server can step.
+
+    Parameters
+    ----------
+    agent_born
+        Start of the agent's process, in milliseconds of the same clock as the
+        start of the backend server; None if the clocks differ.
+
     """
 
-    def __init__(self) -> None:
+    def __init__(self, agent_born: int | None = None) -> None:
+        self._agent_born = agent_born
         self._run: _Run | None = None
         self._former: set[_Run] = set()
         self._sequence = 0
@@ -83,8 +95,19 @@
         self._run = run
         self._sequence = report.sequence
         self._cold_until = now + report.cold_s
-        if is_restart or report.sequence <= _FIRST_REPORTS:
+        is_first = report.sequence <= _FIRST_REPORTS
+        if is_restart or is_first or self._is_together(report.born):
             self._knows_all_from = now
         else:
             self._knows_all_from = min(self._knows_all_from, now + _FLOW_LIFE_S)
         return is_restart, True
+
+    def _is_together(self, born: int) -> bool:
+        """Whether the backend server and the agent were started together.
+
+        Reports that found the agent not listening were counted too, so their
+        number does not show it.
+        """
+        if self._agent_born is None:
+            return False
+        return abs(born - self._agent_born) <= _STARTED_TOGETHER_MS
--- a/packages/lookup/src/persimmonreach/lookup/_search.py
+++ b/packages/lookup/src/persimmonreach/lookup/_search.py
@@ -51,9 +51,11 @@
 # A search without result ends after this time. Callers wait for 1.6 s between
 # their last retransmissions, so the next packet may be long in coming.
 SEARCH_LIFE_S: Final = 2.0
-# Agents that are offered the packet at once because only it can show whether
-# they hold the flow: 10 KB, which a link of 5 Mbit/s carries in 16 ms.
-UNSURE_AT_ONCE: Final = 8
+# Bytes of packets that are offered at once to agents of which only the packet
+# can show whether they hold the flow; a link of 5 Mbit/s carries them in 16 ms.
+UNSURE_BYTES: Final = 10_000
+# Agents named in the log line of a search.
+_NAMED_AGENTS: Final = 8
 _MS_PER_S: Final = 1000
 
 
@@ -300,7 +302,8 @@
 
     def _offer_unsure(self, search: Search, now: float) -> tuple[Action, ...]:
         found = (
-            self._directory.find(agent) for agent in search.take_unsure(UNSURE_AT_ONCE)
+            self._directory.find(agent)
+            for agent in search.take_unsure(UNSURE_BYTES // len(search.first))
         )
         rows = [row for row in found if row is not None]
         if rows:
@@ -343,6 +346,8 @@
         'phase': search.phase.name.lower(),
         'asked': len(search.asked),
         'missing': len(search.missing),
-        'silent': sorted(search.waiting)[:UNSURE_AT_ONCE],
+        'unsure': search.unsure_count,
+        'rounds': search.rounds,
+        'silent': sorted(search.waiting)[:_NAMED_AGENTS],
         'took_ms': round((now - search.started_at) * _MS_PER_S, 1),
     }
--- a/packages/lookup/src/persimmonreach/lookup/_state.py
+++ b/packages/lookup/src/persimmonreach/lookup/_state.py
@@ -98,6 +98,11 @@
         """Latest packet of the caller."""
         return self.packets[-1] if self.packets else self.first
 
+    @property
+    def unsure_count(self) -> int:
+        """Number of agents that wait to be offered the packet."""
+        return len(self._unsure)
+
     def note_offered(self, agent: AgentId) -> None:
         """Note that an agent is offered the packet."""
         self.note_asked(agent)
--- a/packages/lookup/tests/test_directories.py
+++ b/packages/lookup/tests/test_directories.py
@@ -34,7 +34,7 @@
 )
 from persimmonreach.lookup._directories import REPUBLISH_S, directories_of
 from persimmonreach.lookup._publisher import FLOWS_PER_ROUND
-from persimmonreach.lookup._search import UNSURE_AT_ONCE
+from persimmonreach.lookup._search import UNSURE_BYTES
 
 KEY = b'flow-1'
 PACKET = b'packet 1' * 150
@@ -215,7 +215,7 @@
     for send in queried:
         unsure = answer_query(search, send, unsure=(KEY,))
         offered.extend(sent(unsure, QueriedPacket))
-    assert len(offered) == UNSURE_AT_ONCE
+    assert len(offered) == UNSURE_BYTES // len(PACKET)
     missing: list[Action] = []
     for _ in range(AGENTS - 2):
         agent = f'a{offered.pop(0).to.port}'
@@ -229,7 +229,9 @@
 def test_silent_agents_do_not_keep_others_from_their_offer(search: HolderSearch) -> None:
     for send in ask_all(search):
         answer_query(search, send, unsure=(KEY,))
-    assert len(sent(search.handle(Tick(), 1), QueriedPacket)) == UNSURE_AT_ONCE
+    assert len(sent(search.handle(Tick(), 1), QueriedPacket)) == UNSURE_BYTES // len(
+        PACKET
+    )
 
 
 def test_a_flow_is_published_once_to_each_of_its_directories() -> None:
--- a/packages/platform/src/persimmonreach/platform/_agent_process.py
+++ b/packages/platform/src/persimmonreach/platform/_agent_process.py
@@ -29,7 +29,9 @@
     """
 
     def __init__(self, settings: AgentProcessSettings, path: str) -> None:
-        super().__init__(settings.place, PlatformPackets(), AgentPolicy())
+        super().__init__(
+            settings.place, PlatformPackets(), AgentPolicy(shares_clock_with_backend=True)
+        )
         self._settings = settings
         self._path = path
 
--- a/packages/process/src/persimmonreach/process/_agent.py
+++ b/packages/process/src/persimmonreach/process/_agent.py
@@ -119,13 +119,15 @@
     ) -> None:
         super().__init__(place.listed.agent, promised)
         self._place = place
+        # An instance keeps nothing, so the wall clock numbers its processes.
+        born = time.time_ns() // _NS_PER_MS
         identity = AgentIdentity(
             place.listed.agent,
             place.listed.service,
             place.listed.zone,
-            # An instance keeps nothing, so the wall clock numbers its processes.
-            Incarnation(time.time_ns() // _NS_PER_MS),
+            Incarnation(born),
             place.seeds,
+            born if policy.shares_clock_with_backend else None,
         )
         self._forwarder = AgentForwarder(identity, packets, self._random, policy)
         self._task: Any = None
