--- a/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
@@ -245,7 +245,7 @@
         """Settle packets that the backend server has kept."""
         actions: list[Action] = []
         for key in self._offers.pop_due(now):
-            if self._liveness.is_fresh(now):
+            if self._liveness.is_heard_since(self._offers.kept_from(key)):
                 actions.extend(self._adopt(key, now))
             else:
                 self._offers.wait_longer(key, now)
--- a/packages/forwarding/src/persimmonreach/forwarding/_liveness.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_liveness.py
@@ -13,8 +13,6 @@
 REPORT_WAIT_S: Final = 2.5
 # Shortest time between two probes.
 PROBE_PERIOD_S: Final = 0.2
-# A sign of life this recent shows that the backend server is up.
-FRESH_S: Final = 1.0
 
 
 class BackendLiveness:
@@ -46,9 +44,9 @@
         expected = min(self._expected_at, self._heard_at + REPORT_WAIT_S)
         return max(expected, self._probe_at)
 
-    def is_fresh(self, now: float) -> bool:
-        """Whether the backend server gave a sign of life a short time ago."""
-        return self._is_up is True and now - self._heard_at < FRESH_S
+    def is_heard_since(self, at: float) -> bool:
+        """Whether the backend server is up and gave a sign of life after ``at``."""
+        return self._is_up is True and self._heard_at >= at
 
     def note_heard(self, now: float) -> None:
         """Take note of a packet or report of the backend server."""
