--- a/packages/proof/tests/test_bench_fit.py
+++ b/packages/proof/tests/test_bench_fit.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from persimmonreach.proof.bench_fit import fit_line
+from persimmonreach.proof.bench import fit_line
 
 
 def test_line_through_exact_points_is_extrapolated():
