--- a/packages/discovery/src/persimmonreach/discovery/_announcer.py
+++ b/packages/discovery/src/persimmonreach/discovery/_announcer.py
@@ -32,11 +32,13 @@
 LARGEST_RATE: Final = 20
 # Spreads the messages of agents that started together.
 _JITTER: Final = (0.9, 1.1)
+_MS_PER_S: Final = 1000
 # A change of state is repeated this often to those that did not confirm it.
 REPEAT_S: Final = 0.1
-# An entry instance that did not answer for this time is forgotten; it greets
-# the agents again when it returns.
+# An entry instance that did not answer for this time, and for this number of
+# status messages, is forgotten; it greets the agents again when it returns.
 SILENCE_S: Final = 10
+SILENCE_PERIODS: Final = 3
 # Seeds are told this often while no entry instance is known.
 SEED_S: Final = 0.5
 
@@ -197,10 +199,11 @@
         return (self._send(added, now),)
 
     def _on_tick(self, now: float) -> tuple[Action, ...]:
+        silence_s = max(SILENCE_S, SILENCE_PERIODS * self._period)
         self._entries = {
             entry: row
             for entry, row in self._entries.items()
-            if now - row.heard_at <= SILENCE_S
+            if now - row.heard_at <= silence_s
         }
         if not self._entries and now >= self._seed_at:
             self._seed_at = now + SEED_S
@@ -211,7 +214,10 @@
         return tuple(self._send(row, now) for row in due)
 
     def _advance(self) -> None:
-        self._status = self._status._replace(sequence=self._status.sequence + 1)
+        self._status = self._status._replace(
+            sequence=self._status.sequence + 1,
+            period_ms=int(self._period * _MS_PER_S),
+        )
 
     def _next_period(self) -> float:
         return self._period * self._random.uniform(*_JITTER)
--- a/packages/discovery/src/persimmonreach/discovery/_rows.py
+++ b/packages/discovery/src/persimmonreach/discovery/_rows.py
@@ -10,8 +10,13 @@
     ListedAgent,
 )
 
-# Three status messages of an agent in a row are lost or late.
+# Least time without a message after which an agent is silent: three status
+# messages in a row at the shortest period.
 SILENT_AFTER_S: Final = 1.6
+# The same in periods of the agent, which grow with the entry instances; one
+# message may be lost.
+SILENT_PERIODS: Final = 2.2
+_MS_PER_S: Final = 1000
 
 
 class AgentRow:
@@ -97,7 +102,8 @@
 
     def is_silent(self, now: float) -> bool:
         """Whether the agent should have been heard by now."""
-        return now - self._heard_at > SILENT_AFTER_S
+        period_s = self.status.period_ms / _MS_PER_S
+        return now - self._heard_at > max(SILENT_AFTER_S, SILENT_PERIODS * period_s)
 
     def may_hold_flows(self, now: float) -> bool:
         """Whether a flow may be held here, as far as the agent has told.
--- a/packages/discovery/src/persimmonreach/discovery/messages.py
+++ b/packages/discovery/src/persimmonreach/discovery/messages.py
@@ -69,6 +69,8 @@
         Milliseconds for which the backend server stays cold.
     version
         Newest version of the configuration that an entry instance has told.
+    period_ms
+        Milliseconds between two status messages to the same entry instance.
 
     """
 
@@ -83,6 +85,7 @@
     slots: int = 1
     cold_ms: int = 0
     version: int = 0
+    period_ms: int = 500
 
 
 class EntryStatus(NamedTuple):
--- a/packages/discovery/tests/test_announcer.py
+++ b/packages/discovery/tests/test_announcer.py
@@ -94,3 +94,25 @@
     made = announcer()
     told = made.handle(Received(FIRST, EntryStatus('e1', 'z', 4, ('z',))), 1)
     assert ZonesReported(4, ('z',)) in told
+
+
+def test_the_period_grows_with_the_entry_instances_and_is_told() -> None:
+    """Entry instances took agents for silent between two of their messages."""
+    made = announcer()
+    many = tuple(
+        ListedEntry(f'x{number}', 'z', Endpoint('10.2.0.1', number))
+        for number in range(1, 59)
+    )
+    made.handle(EntriesListed(many), 0)
+    assert made.status.period_ms == 3000
+
+
+def test_an_entry_instance_is_kept_until_it_can_have_answered() -> None:
+    made = announcer()
+    many = tuple(
+        ListedEntry(f'x{number}', 'z', Endpoint('10.2.0.1', number))
+        for number in range(1, 599)
+    )
+    made.handle(EntriesListed(many), 0)
+    made.handle(Tick(), 12)
+    assert len(made.entries) == 600
--- a/packages/discovery/tests/test_directory.py
+++ b/packages/discovery/tests/test_directory.py
@@ -132,3 +132,17 @@
     for now in (7, 9.5, 12):
         directory.handle(AgentsListed((), is_complete=False), now)
     assert directory.find('a1')
+
+
+def test_an_agent_with_a_long_period_is_not_silent_between_its_messages() -> None:
+    """With 60 entry instances each agent tells one of them every 3 s; its
+    flows were reset when the store had revoked its registration.
+    """
+    directory = AgentDirectory(OWN)
+    for now in range(0, 30, 3):
+        directory.handle(Received(PLACE, status(now + 1, period_ms=3000)), now)
+        directory.handle(EMPTY, now + 2.9)
+        assert not directory.find('a1').is_silent(now + 2.9)
+    directory.handle(EMPTY, 40)
+    directory.handle(EMPTY, 43)
+    assert directory.find('a1') is None
