--- a/packages/discovery/src/persimmonreach/discovery/_directory.py
+++ b/packages/discovery/src/persimmonreach/discovery/_directory.py
@@ -63,6 +63,9 @@
         self._greet_silent_at: float = 0
         self._read_at = inf
         self._absent_since: dict[AgentId, float] = {}
+        # Agents of one front end never register, so only the absence of an
+        # agent that was registered once says something.
+        self._registered: set[AgentId] = set()
 
     def __len__(self) -> int:
         """Return the number of agents."""
@@ -169,10 +172,11 @@
         now: float,
     ) -> tuple[Action, ...]:
         """Drop agents that are neither heard nor registered for long enough."""
+        self._registered.update(listed)
         absent = [
             agent
-            for agent, row in self._rows.items()
-            if row.is_silent(now) and agent not in listed
+            for agent in self._registered.difference(listed)
+            if agent in self._rows and self._rows[agent].is_silent(now)
         ]
         before = self._absent_since
         self._absent_since = {agent: before.get(agent, now) for agent in absent}
@@ -214,6 +218,7 @@
 
     def _drop(self, agent: AgentId) -> None:
         row = self._rows.pop(agent)
+        self._registered.discard(agent)
         self._forget_at.pop(agent, None)
         self._by_service[row.status.service].pop(agent)
 
--- a/packages/discovery/tests/test_directory.py
+++ b/packages/discovery/tests/test_directory.py
@@ -143,6 +143,19 @@
         directory.handle(Received(PLACE, status(now + 1, period_ms=3000)), now)
         directory.handle(EMPTY, now + 2.9)
         assert not directory.find('a1').is_silent(now + 2.9)
-    directory.handle(EMPTY, 40)
+    directory.handle(LISTED, 40)
     directory.handle(EMPTY, 43)
+    directory.handle(EMPTY, 46)
     assert directory.find('a1') is None
+
+
+def test_agents_that_never_register_are_not_taken_for_gone() -> None:
+    """The soak, seeds 2 and 3: a paused agent of the product's own front end,
+    whose agents do not register, was dropped and its flows were reset.
+    """
+    directory = AgentDirectory(OWN)
+    directory.handle(EMPTY, 0)
+    directory.handle(Received(PLACE, status()), 0)
+    for now in (7, 9.5, 12):
+        directory.handle(EMPTY, now)
+    assert directory.find('a1')
--- a/packages/standins/src/persimmonreach/standins/_platform.py
+++ b/packages/standins/src/persimmonreach/standins/_platform.py
@@ -186,9 +186,20 @@
         status = server.agent.process.returncode
         if status:
             raise DemoError(f'{name} ended with {status}')
+        return self._succeed_agent(server)
+
+    def kill_agent(self, server: Server) -> Server:
+        """Kill an agent and start its successor."""
+        kill(server.agent)
+        return self._succeed_agent(server)
+
+    def _succeed_agent(self, server: Server) -> Server:
         settings = self._agent_settings(server.name, server.zone, server.backend)
         settings['service'] = server.service
-        agent = self._fleet.start_daemon(f'{name}-2', 'agent', settings)
+        number = next(self._numbers)
+        agent = self._fleet.start_daemon(
+            f'{server.name}-agent-{number}', 'agent', settings
+        )
         successor = server._replace(agent=agent)
         self.servers[self.servers.index(server)] = successor
         return successor
--- a/packages/standins/src/persimmonreach/standins/_report.py
+++ b/packages/standins/src/persimmonreach/standins/_report.py
@@ -38,7 +38,7 @@
         return f'{self.wording}; measured {shown}'
 
 
-_NONE_ALLOWED: Final = (
+NONE_ALLOWED: Final = (
     ('broken_flows_not_allowed', 'flows broken outside the zone taken out: 0'),
     ('requests_run_twice', 'non-idempotent requests run twice: 0'),
     ('requests_lost', 'requests without any reply: 0'),
@@ -69,7 +69,7 @@
     measured: Mapping[str, object] = figures
     promises = [
         Promise(name, wording, float(str(measured[name])), not measured[name])
-        for name, wording in _NONE_ALLOWED
+        for name, wording in NONE_ALLOWED
     ]
     silent_s = figures['seconds_to_last_packet_to_zone']
     in_force_s = figures['seconds_to_in_force']
--- a/packages/standins/src/persimmonreach/standins/_script.py
+++ b/packages/standins/src/persimmonreach/standins/_script.py
@@ -174,24 +174,28 @@
         )
         self._times['in_force_s'] = self._clock.now() - begun_at
 
-    def _finish(self) -> Figures:
+    def _collect(self, removed_zone: str, out_at: float) -> Evidence:
+        """Let the callers end, and read what they and the servers have seen."""
         self._progress('callers end their flows')
         callers = self._platform.callers.endpoint(_HTTP)
         http_json(callers, '/stop', {})
         self._wait_as_promise('replies', self._none_open, _STOP_TIMEOUT_S)
         servers = self._platform.servers
-        journals = [self._journal_of(row.backend) for row in servers]
         evidence = Evidence(
             http_json(callers, '/journal'),
-            journals,
+            [self._journal_of(row.backend) for row in servers],
             {row.name: row.zone for row in servers},
-            self._deployment.removed_zone,
-            self._times['out_at'],
+            removed_zone,
+            out_at,
         )
         self._fleet.write('journals.json', evidence._asdict())
-        last_new_flow_at = {row['instance']: row['last_new_flow_at'] for row in journals}[
-            self._times['drained']
-        ]
+        return evidence
+
+    def _finish(self) -> Figures:
+        evidence = self._collect(self._deployment.removed_zone, self._times['out_at'])
+        last_new_flow_at = {
+            row['instance']: row['last_new_flow_at'] for row in evidence.servers
+        }[self._times['drained']]
         return Figures(
             **request_figures(evidence),
             **flow_figures(evidence),
