--- a/packages/forwarding/src/persimmonreach/forwarding/__init__.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/__init__.py
@@ -1,10 +1,6 @@
 """Packet path of entry instances and agents."""
 
-from persimmonreach.forwarding._agent import (
-    AgentForwarder,
-    AgentIdentity,
-    AgentPolicy,
-)
+from persimmonreach.forwarding._agent import AgentForwarder
 from persimmonreach.forwarding._caller_path import RouteExplanation
 from persimmonreach.forwarding._entry import EntryForwarder, EntryIdentity
 from persimmonreach.forwarding._events import (
@@ -17,6 +13,7 @@
     ProbeBackend,
     StopRequested,
 )
+from persimmonreach.forwarding._identity import AgentIdentity, AgentPolicy
 from persimmonreach.forwarding.messages import RoutedPacket
 
 __all__ = (
--- a/packages/forwarding/src/persimmonreach/forwarding/_agent.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_agent.py
@@ -1,21 +1,16 @@
 """Decisions of an agent."""
 
 from random import Random
-from typing import Any, Final, NamedTuple
+from typing import Any, Final
 
 from persimmonreach.core import (
     Action,
-    AgentId,
     Count,
-    Endpoint,
     Event,
-    Incarnation,
     Received,
-    ServiceName,
     StateChange,
     StateMachine,
     Tick,
-    Zone,
 )
 from persimmonreach.discovery import (
     AgentState,
@@ -26,7 +21,6 @@
     StatusAnnouncer,
     ZonesReported,
 )
-from persimmonreach.flows import ProbeSettings
 from persimmonreach.forwarding._backend import BackendRun
 from persimmonreach.forwarding._backend_path import BackendPath
 from persimmonreach.forwarding._events import (
@@ -38,6 +32,7 @@
     ProbeBackend,
     StopRequested,
 )
+from persimmonreach.forwarding._identity import KEEPS_FLOWS, AgentIdentity, AgentPolicy
 from persimmonreach.forwarding._liveness import BackendLiveness
 from persimmonreach.forwarding.messages import RoutedPacket
 from persimmonreach.lookup import (
@@ -54,59 +49,6 @@
 _MS_PER_S: Final = 1000
 
 
-class AgentIdentity(NamedTuple):
-    """Which agent this is, and whom it tells first.
-
-    Attributes
-    ----------
-    agent
-        Id of the agent.
-    service
-        Service of its backend server.
-    zone
-        Availability zone of the agent.
-    incarnation
-        Number of this process; differs from that of each earlier one.
-    seeds
-        Addresses of entry instances that are told as long as none is known.
-    born
-        Start of this process in Unix milliseconds; None if the backend server
-        does not report its own start by the same clock.
-
-    """
-
-    agent: AgentId
-    service: ServiceName
-    zone: Zone
-    incarnation: Incarnation
-    seeds: tuple[Endpoint, ...] = ()
-    born: int | None = None
-
-
-class AgentPolicy(NamedTuple):
-    """What differs between front ends.
-
-    Attributes
-    ----------
-    ends_flows_with_zone
-        Whether open flows end when their availability zone is taken out of
-        service, or go on until they close.
-    probing
-        When silent flows are probed.
-    shares_clock_with_backend
-        Whether the backend server reports its start by the clock of the
-        agent's instance.
-
-    """
-
-    ends_flows_with_zone: bool = False
-    probing: ProbeSettings = ProbeSettings()
-    shares_clock_with_backend: bool = False
-
-
-KEEPS_FLOWS: Final = AgentPolicy()
-
-
 class AgentForwarder(StateMachine):
     """Decides on every packet, message and change that reaches an agent.
 
--- a/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
@@ -22,20 +22,14 @@
     SilentFlow,
 )
 from persimmonreach.forwarding._backend import BackendRun
+from persimmonreach.forwarding._flow_answers import FlowAnswers
 from persimmonreach.forwarding._labels import Labels
 from persimmonreach.forwarding._liveness import (
     FIRST_PACKET_WAIT_S,
     REQUEST_WAIT_S,
     BackendLiveness,
 )
-from persimmonreach.forwarding._offers import Offers
-from persimmonreach.lookup import (
-    FlowFound,
-    FlowMissing,
-    FlowsAnswered,
-    FlowsQueried,
-    PacketReturned,
-)
+from persimmonreach.lookup import FlowsQueried, PacketReturned
 from persimmonreach.packets import (
     RST,
     SYN,
@@ -95,13 +89,13 @@
         self._flows = HeldFlows(_FLOW_RETENTION_S)
         self._prober = FlowProber(probing, packets)
         self._sweep_at: float = 0
-        self._offers = Offers()
         self._labels = Labels()
+        self._answers = FlowAnswers(agent, packets, self._flows, run, liveness)
 
     @property
     def wake_at(self) -> float:
         """Time at which a ``Tick`` is wanted."""
-        return self._offers.next_at
+        return self._answers.wake_at
 
     @property
     def flow_count(self) -> int:
@@ -182,21 +176,10 @@
         header = self._read(packet)
         if header is None:
             return (Count('packets_malformed'),)
-        flow = self._flows.find(header.key)
-        if flow is not None and flow.is_chosen_by(header):
-            flow.entry = sender
-            self._flows.note_caller(flow, header, now)
-            found = FlowFound(header.key, self._agent)
-            return (self._deliver(sender, packet), Send(sender, found))
-        if flow is not None or self._is_surely_missing(now):
-            return (Send(sender, FlowMissing(header.key, self._agent)),)
-        if not self._packets.can_bounce:
-            return (Count('packets_before_flows'),)
-        # Only the backend server knows whether it holds the flow; it returns
-        # the packet if it does not.
-        self._offers.put(header.key, sender, now)
-        self._liveness.expect_answer(FIRST_PACKET_WAIT_S, now)
-        return (self._deliver(sender, packet), Count('packets_offered'))
+        is_offered, answers = self._answers.on_queried(sender, header, now)
+        if is_offered:
+            return (self._deliver(sender, packet), *answers)
+        return answers
 
     def on_asked(
         self,
@@ -205,17 +188,7 @@
         now: float,
     ) -> tuple[Action, ...]:
         """Answer which flows are held here."""
-        held: list[FlowKey] = []
-        unsure: list[FlowKey] = []
-        is_sure = self._is_surely_missing(now)
-        for key in asked.keys:
-            flow = self._flows.find(key)
-            if flow is not None and flow.is_open:
-                held.append(key)
-            elif flow is not None or not is_sure:
-                unsure.append(key)
-        answer = FlowsAnswered(asked.number, self._agent, tuple(held), tuple(unsure))
-        return (Send(sender, answer),)
+        return self._answers.on_asked(sender, asked, now)
 
     def on_backend_packet(self, packet: bytes, now: float) -> tuple[Action, ...]:
         """Decide on a packet from the backend server."""
@@ -229,7 +202,7 @@
         actions: tuple[Action, ...] = ()
         if flow is None:
             self._flows.add(header.key, None, now)
-            actions = self._tell_found(header.key)
+            actions = self._answers.on_heard(header.key)
         elif header.flags & SYN and flow.entry is not None:
             flow.sequence = header.sequence
             accepted = FlowAccepted(header.key, self._agent, header.sequence)
@@ -243,13 +216,7 @@
 
     def on_tick(self, now: float) -> tuple[Action, ...]:
         """Settle packets that the backend server has kept."""
-        actions: list[Action] = []
-        for key in self._offers.pop_due(now):
-            if self._liveness.is_heard_since(self._offers.kept_from(key)):
-                actions.extend(self._adopt(key, now))
-            else:
-                self._offers.wait_longer(key, now)
-        return tuple(actions)
+        return self._answers.settle(now)
 
     def sweep(self, now: float) -> tuple[Action, ...]:
         """Forget flows that are over, and end those that are dead."""
@@ -278,10 +245,7 @@
 
     def reset_all(self) -> tuple[Action, ...]:
         """Tell callers and entry instances that all flows are gone."""
-        actions: list[Action] = [
-            Send(sender, FlowMissing(key, self._agent))
-            for key, sender in self._offers.cancel_all()
-        ]
+        actions: list[Action] = list(self._answers.deny_all())
         for key in self._flows.keys:
             flow = self._flows.remove(key)
             if flow is None:
@@ -322,9 +286,6 @@
             if (flow := known or self._flows.find(key)) is not None
         )
 
-    def _is_surely_missing(self, now: float) -> bool:
-        return self._liveness.is_down or self._run.knows_all_flows(now)
-
     def _refuse(
         self,
         sender: Endpoint,
@@ -354,9 +315,8 @@
         if header.is_first:
             return (counted, *self._on_first_bounced(sender, header.key))
         self._flows.remove(header.key)
-        if self._offers.cancel(header.key):
-            return (counted, Send(sender, FlowMissing(header.key, self._agent)))
-        return (counted, Send(sender, PacketReturned(self._agent, packet)))
+        denied = self._answers.on_returned(sender, header.key)
+        return (counted, denied or Send(sender, PacketReturned(self._agent, packet)))
 
     def _on_first_bounced(self, sender: Endpoint, key: FlowKey) -> tuple[Action, ...]:
         flow = self._flows.find(key)
@@ -365,22 +325,6 @@
         self._flows.remove(key)
         return self._refuse(sender, key, RefusalReason.FULL)
 
-    def _adopt(self, key: FlowKey, now: float) -> tuple[Action, ...]:
-        """Take a flow for held whose packet the backend server has kept."""
-        sender = self._offers.take(key)
-        flow = self._flows.find(key) or self._flows.add(key, sender, now)
-        flow.is_open = True
-        if sender is None:
-            return ()
-        return (Send(sender, FlowFound(key, self._agent)),)
-
-    def _tell_found(self, key: FlowKey) -> tuple[Action, ...]:
-        sender = self._offers.take(key)
-        if sender is None:
-            return ()
-        self._offers.cancel(key)
-        return (Send(sender, FlowFound(key, self._agent)),)
-
     def _read(self, packet: bytes) -> PacketHeader | None:
         try:
             return self._packets.read_inbound(packet)
--- a/packages/lookup/src/persimmonreach/lookup/_search.py
+++ b/packages/lookup/src/persimmonreach/lookup/_search.py
@@ -54,9 +54,6 @@
 # Bytes of packets that are offered at once to agents of which only the packet
 # can show whether they hold the flow; a link of 5 Mbit/s carries them in 16 ms.
 UNSURE_BYTES: Final = 10_000
-# Agents named in the log line of a search.
-_NAMED_AGENTS: Final = 8
-_MS_PER_S: Final = 1000
 
 
 class HolderSearch(StateMachine):
@@ -196,7 +193,7 @@
         return (
             HolderFound(found.key, found.agent, search.packets_for(found.agent)),
             Count('searches_found'),
-            Decision('holder_found', found.key, found.agent, _inputs_of(search, now)),
+            Decision('holder_found', found.key, found.agent, search.inputs_at(now)),
         )
 
     def _on_answered(
@@ -317,7 +314,7 @@
             return ()
         self._searches.pop(key)
         self._deadlines.cancel(key)
-        inputs = _inputs_of(search, now)
+        inputs = search.inputs_at(now)
         self._denials.put(key, search.missing, now)
         if is_unfinished:
             return (
@@ -339,15 +336,3 @@
     return (
         row for row in rows if row.agent not in search.asked and row.may_hold_flows(now)
     )
-
-
-def _inputs_of(search: Search, now: float) -> dict[str, object]:
-    return {
-        'phase': search.phase.name.lower(),
-        'asked': len(search.asked),
-        'missing': len(search.missing),
-        'unsure': search.unsure_count,
-        'rounds': search.rounds,
-        'silent': sorted(search.waiting)[:_NAMED_AGENTS],
-        'took_ms': round((now - search.started_at) * _MS_PER_S, 1),
-    }
--- a/packages/lookup/src/persimmonreach/lookup/_state.py
+++ b/packages/lookup/src/persimmonreach/lookup/_state.py
@@ -12,6 +12,9 @@
 # Flows do not move, so an agent that did not hold a flow is not asked again by
 # the next search. A caller may use its port for another flow later than this.
 DENIAL_S: Final = 5
+# Agents named in the log line of a search.
+_NAMED_AGENTS: Final = 8
+_MS_PER_S: Final = 1000
 
 
 class Phase(IntEnum):
@@ -98,10 +101,17 @@
         """Latest packet of the caller."""
         return self.packets[-1] if self.packets else self.first
 
-    @property
-    def unsure_count(self) -> int:
-        """Number of agents that wait to be offered the packet."""
-        return len(self._unsure)
+    def inputs_at(self, now: float) -> dict[str, object]:
+        """Return what a log line tells of the search."""
+        return {
+            'phase': self.phase.name.lower(),
+            'asked': len(self.asked),
+            'missing': len(self.missing),
+            'unsure': len(self._unsure),
+            'rounds': self.rounds,
+            'silent': sorted(self.waiting)[:_NAMED_AGENTS],
+            'took_ms': round((now - self.started_at) * _MS_PER_S, 1),
+        }
 
     def note_offered(self, agent: AgentId) -> None:
         """Note that an agent is offered the packet."""
