Let agents that are gone hold up no search

Flows that had been lost were not reset for 6 s after the return (log lines `holder_not_found` with the outcome `dropped`: 2,678 from 38 s to 44 s), since searches waited for two kinds of agents:

- Agents that are only known from a registration whose lease outlived them.
An entry instance now takes one that has never answered for 2 s for unreachable, as long as most others answer: its flows are lost to callers in any case.
Any sign of life ends that.
- Agents that had reported their backend server down and were removed then, without a word, one a second.
They are still asked, since the server may be up again, but only once in a search.

A search also no longer waits, in its later rounds, for agents that it does not ask again.

Ruled out: a shorter lease (renewals of all processes are priced) and a shorter wait for agents that were heard before (a frozen agent still holds its flows).

--- a/packages/discovery/src/persimmonreach/discovery/_directory.py
+++ b/packages/discovery/src/persimmonreach/discovery/_directory.py
@@ -62,6 +62,7 @@
         self._greet_at: float = 0
         self._greet_silent_at: float = 0
         self._read_at = inf
+        self._most_answer_since = inf
         self._absent_since: dict[AgentId, float] = {}
         # Agents of one front end never register, so only the absence of an
         # agent that was registered once says something.
@@ -137,7 +138,7 @@
             self._drop(status.agent)
             row = None
         if row is None:
-            row = AgentRow(status, sender)
+            row = AgentRow(status, sender, now)
             self._add(row)
             row.hear(status, now)
             return (answer, _state_change(row))
@@ -159,7 +160,9 @@
             self._read_at = min(self._read_at, now)
             gone = self._drop_absent({listed.agent for listed in event.agents}, now)
         added = [
-            row_of(listed) for listed in event.agents if listed.agent not in self._rows
+            row_of(listed, now)
+            for listed in event.agents
+            if listed.agent not in self._rows
         ]
         for unheard in added:
             self._add(unheard)
@@ -196,14 +199,30 @@
         if now < self._greet_at:
             return ()
         self._greet_at = now + GREETING_S
+        unreachable = self._find_unreachable(now)
         is_round = now >= self._greet_silent_at
         if is_round:
             self._greet_silent_at = now + SILENT_GREETING_S
-        return tuple(
+        greetings = (
             Send(row.endpoint, self._status)
             for row in self._rows.values()
             if not row.was_heard or (is_round and row.is_silent(now))
         )
+        return (*unreachable, *greetings)
+
+    def _find_unreachable(self, now: float) -> tuple[Action, ...]:
+        """Note agents that do not answer, if this entry instance is not cut off."""
+        answering = sum(not row.is_silent(now) for row in self._rows.values())
+        if 2 * answering <= len(self._rows):
+            self._most_answer_since = inf
+            return ()
+        self._most_answer_since = min(self._most_answer_since, now)
+        found = [
+            row
+            for row in self._rows.values()
+            if row.is_unanswered(self._most_answer_since, now) and not row.is_unreachable
+        ]
+        return tuple(_note_unreachable(row) for row in found)
 
     def _forget_silent(self, now: float) -> None:
         for agent, row in tuple(self._rows.items()):
@@ -223,6 +242,11 @@
         self._by_service[row.status.service].pop(agent)
 
 
+def _note_unreachable(row: AgentRow) -> StateChange:
+    row.is_unreachable = True
+    return StateChange('agent_unreachable', row.agent, 'no answer since it was listed')
+
+
 def _state_change(row: AgentRow) -> StateChange:
     state = AgentState(row.status.state)
     return StateChange('agent_state', row.agent, state.name.lower())
--- a/packages/discovery/src/persimmonreach/discovery/_rows.py
+++ b/packages/discovery/src/persimmonreach/discovery/_rows.py
@@ -16,6 +16,10 @@
 # The same in periods of the agent, which grow with the entry instances; one
 # message may be lost.
 SILENT_PERIODS: Final = 2.2
+# An agent that is only known from the store is unreachable if it has not
+# answered for this time. It is greeted four times a second and starts within
+# 0.5 s, so its instance is gone or cut off.
+UNREACHABLE_AFTER_S: Final = 2.0
 _MS_PER_S: Final = 1000
 
 
@@ -28,14 +32,32 @@
         First status; made up if the agent is only known from the store.
     endpoint
         Address of the agent.
+    now
+        Time at which the agent became known.
+
+    Attributes
+    ----------
+    is_unreachable
+        Whether the agent has never answered this entry instance, while others
+        have.
 
     """
 
-    __slots__ = ('_heard_at', '_offered', '_suspected_until', 'endpoint', 'status')
+    __slots__ = (
+        '_heard_at',
+        '_known_at',
+        '_offered',
+        '_suspected_until',
+        'endpoint',
+        'is_unreachable',
+        'status',
+    )
 
-    def __init__(self, status: AgentStatus, endpoint: Endpoint) -> None:
+    def __init__(self, status: AgentStatus, endpoint: Endpoint, now: float = 0) -> None:
         self.status = status
         self.endpoint = endpoint
+        self.is_unreachable = False
+        self._known_at = now
         self._heard_at = -inf
         self._offered = 0
         self._suspected_until = -inf
@@ -60,6 +82,11 @@
         """Whether the backend server takes no new flows again."""
         return self.status.state in {AgentState.DRAINING, AgentState.LEFT}
 
+    @property
+    def is_down(self) -> bool:
+        """Whether the agent has found its backend server down."""
+        return self.status.state is AgentState.DOWN
+
     @property
     def load(self) -> float:
         """Flows and waiting requests for each slot of the backend server."""
@@ -67,8 +94,7 @@
 
     def hear(self, status: AgentStatus, now: float) -> None:
         """Take over a status, unless a later one is known."""
-        self._heard_at = now
-        self._suspected_until = -inf
+        self.note_alive(now)
         known = self.status
         is_same_process = status.incarnation == known.incarnation
         if is_same_process and status.sequence <= known.sequence:
@@ -85,6 +111,7 @@
 
     def note_alive(self, now: float) -> None:
         """Note that the agent answered."""
+        self.is_unreachable = False
         self._heard_at = now
         self._suspected_until = -inf
 
@@ -96,6 +123,20 @@
         """Take over the state that a refusal named."""
         self.status = self.status._replace(state=state)
 
+    def is_unanswered(self, since: float, now: float) -> bool:
+        """Whether the agent has never answered, although it had the time.
+
+        Parameters
+        ----------
+        since
+            Time from which most other agents have answered.
+        now
+            Present time.
+
+        """
+        asked_s = now - max(self._known_at, since)
+        return not self.was_heard and asked_s > UNREACHABLE_AFTER_S
+
     def silence(self, now: float) -> float:
         """Return the seconds since the agent was heard."""
         return now - self._heard_at
@@ -109,9 +150,12 @@
         """Whether a flow may be held here, as far as the agent has told.
 
         An agent that was lost beside a backend server that was down leaves no
-        flows behind.
+        flows behind. Those of an agent that cannot be reached are lost to their
+        callers in any case, who reach another one after a reset.
         """
-        if self.status.state is AgentState.DOWN:
+        if self.is_unreachable:
+            return False
+        if self.is_down:
             return not self.is_silent(now)
         return self.status.state is not AgentState.LEFT
 
@@ -120,7 +164,7 @@
         return now < self._suspected_until
 
 
-def row_of(listed: ListedAgent) -> AgentRow:
+def row_of(listed: ListedAgent, now: float) -> AgentRow:
     """Return the row of an agent that is only known from the store."""
     status = AgentStatus(
         agent=listed.agent,
@@ -130,4 +174,4 @@
         zone=listed.zone,
         state=AgentState.STARTING,
     )
-    return AgentRow(status, listed.endpoint)
+    return AgentRow(status, listed.endpoint, now)
--- a/packages/discovery/tests/test_directory.py
+++ b/packages/discovery/tests/test_directory.py
@@ -159,3 +159,62 @@
     for now in (7, 9.5, 12):
         directory.handle(EMPTY, now)
     assert directory.find('a1')
+
+
+def listed(*agents: str) -> AgentsListed:
+    return AgentsListed(tuple(ListedAgent(agent, 'svc', 'z', PLACE) for agent in agents))
+
+
+def hear(directory: AgentDirectory, agent: str, now: float) -> None:
+    sequence = int(now * 1000) + 1
+    directory.handle(Received(PLACE, status(sequence, agent=agent)), now)
+
+
+def turn(directory: AgentDirectory, answering: tuple[str, ...], until: float) -> list:
+    """Let agents report twice a second; return the changes that are noted."""
+    changes = []
+    for tick in range(int(until * 10)):
+        now = tick / 10
+        if not tick % 5:
+            for agent in answering:
+                hear(directory, agent, now)
+        changes += directory.handle(Tick(), now)
+    return [change for change in changes if isinstance(change, StateChange)]
+
+
+def test_an_agent_that_never_answers_is_unreachable_while_others_answer() -> None:
+    """Its lease outlived it, and all callers of lost flows waited for 8 s."""
+    directory = AgentDirectory(OWN)
+    directory.handle(listed('a1', 'a2', 'a3'), 0)
+    assert not turn(directory, ('a1', 'a2'), 2)
+    assert directory.find('a3').may_hold_flows(2)
+    changes = turn(directory, ('a1', 'a2'), 4)
+    assert [change[:2] for change in changes] == [('agent_unreachable', 'a3')]
+    assert not directory.find('a3').may_hold_flows(4)
+    hear(directory, 'a3', 4)
+    assert directory.find('a3').may_hold_flows(4)
+
+
+def test_an_entry_instance_that_is_cut_off_writes_no_agent_off() -> None:
+    """All flows that it was asked for would be reset."""
+    directory = AgentDirectory(OWN)
+    directory.handle(listed('a1', 'a2', 'a3', 'a4'), 0)
+    assert not turn(directory, ('a1', 'a2'), 20)
+    assert directory.find('a3').may_hold_flows(20)
+
+
+def test_agents_that_start_late_have_time_to_answer_after_the_others() -> None:
+    """After a power failure all agents start within seconds of each other."""
+    directory = AgentDirectory(OWN)
+    directory.handle(listed('a1', 'a2', 'a3'), -10)
+    assert not turn(directory, ('a1', 'a2'), 2)
+    assert directory.find('a3').may_hold_flows(2)
+
+
+def test_an_agent_that_was_heard_stays_while_it_is_silent() -> None:
+    """A frozen or cut off agent may still hold its flows."""
+    directory = AgentDirectory(OWN)
+    directory.handle(listed('a1', 'a2', 'a3'), 0)
+    hear(directory, 'a3', 0)
+    assert not turn(directory, ('a1', 'a2'), 10)
+    assert directory.find('a3').may_hold_flows(10)
--- a/packages/lookup/src/persimmonreach/lookup/_search.py
+++ b/packages/lookup/src/persimmonreach/lookup/_search.py
@@ -257,9 +257,9 @@
     def _resume(self, search: Search, now: float) -> tuple[Action, ...]:
         if not search.waiting:
             return self._conclude(search, now)
+        self._queries.add(search.key, len(search.waiting), now)
         search.retry_silent()
         search.phase = Phase.GATHERING
-        self._queries.add(search.key, len(search.waiting), now)
         return (Count('searches_repeated'),)
 
     def _pause(self, search: Search, now: float) -> bool:
@@ -334,5 +334,11 @@
     now: float,
 ) -> Iterable[AgentRow]:
     return (
-        row for row in rows if row.agent not in search.asked and row.may_hold_flows(now)
+        row
+        for row in rows
+        if row.agent not in search.asked
+        and row.may_hold_flows(now)
+        # An agent whose backend server is down is asked once, in case that it
+        # is up again; if it is gone as well, it does not hold up the search.
+        and not (row.is_down and row.agent in search.unanswered)
     )
--- a/packages/lookup/src/persimmonreach/lookup/_state.py
+++ b/packages/lookup/src/persimmonreach/lookup/_state.py
@@ -75,6 +75,8 @@
         Those that were offered the packet and have not answered.
     rounds
         Times that all agents were asked.
+    unanswered
+        Those that were silent in an earlier round.
 
     """
 
@@ -91,6 +93,7 @@
         self.missing: set[AgentId] = set()
         self.offers_due: set[AgentId] = set()
         self.rounds = 0
+        self.unanswered: set[AgentId] = set()
         self._offered: set[AgentId] = set()
         self._unsure: deque[AgentId] = deque()
         if event.missing_at is not None:
@@ -132,10 +135,15 @@
         self.offers_due.discard(agent)
 
     def retry_silent(self) -> None:
-        """Let the agents that have not answered be asked again."""
+        """Let the agents that have not answered be asked again.
+
+        Those that are known to be gone by then are not waited for.
+        """
+        self.unanswered |= self.waiting
         self.asked -= self.waiting
         self.offers_due.clear()
         self._offered -= self.waiting
+        self.waiting.clear()
 
     def note_unsure(self, agent: AgentId) -> None:
         """Note that an agent can tell only if it is offered the packet."""
--- a/packages/lookup/tests/test_search.py
+++ b/packages/lookup/tests/test_search.py
@@ -129,6 +129,54 @@
     assert everyone == {'a0', 'a2'}
 
 
+def report(directory: AgentDirectory, agent: str, state: AgentState) -> None:
+    status = AgentStatus(agent, 1, 2, 'svc', 'z', state)
+    directory.handle(Received(Endpoint('10.0.0.1', int(agent[1:])), status), 0)
+
+
+@pytest.mark.parametrize(
+    ('state', 'is_ended'),
+    [(AgentState.DOWN, True), (AgentState.READY, False), (AgentState.STOPPING, False)],
+)
+def test_an_agent_whose_server_is_down_holds_up_a_search_for_one_round(
+    state: AgentState,
+    is_ended: bool,
+) -> None:
+    """Their instances were removed one by one, and lost flows were not reset for 6 s."""
+    directory = directory_of(4)
+    report(directory, 'a3', state)
+    search = HolderSearch(directory)
+    everyone = asked(search.handle(SEARCH, 0))
+    while search.wake_at < 1 and len(everyone) < 4:
+        everyone |= asked(search.handle(Tick(), search.wake_at))
+    for agent in ('a0', 'a1', 'a2'):
+        miss(search, agent, 0.1)
+    ended: tuple[Action, ...] = ()
+    while not ended and search.wake_at < 1:
+        actions = search.handle(Tick(), search.wake_at)
+        ended = tuple(of_kind(actions, HolderMissing))
+    assert bool(ended) is is_ended
+
+
+def test_a_search_does_not_wait_for_an_agent_that_turns_out_to_be_gone() -> None:
+    """It lasted for 2 s although all agents that were left had answered."""
+    directory = directory_of(4)
+    search = HolderSearch(directory)
+    everyone = asked(search.handle(SEARCH, 0))
+    for agent in sorted(everyone):
+        everyone |= asked(miss(search, agent, 0.01))
+    silent, *others = sorted(everyone)
+    for agent in others:
+        miss(search, agent, 0.02)
+    report(directory, silent, AgentState.LEFT)
+    ended: tuple[Action, ...] = ()
+    while not ended and search.wake_at < 1:
+        ended = tuple(
+            of_kind(search.handle(Tick(), search.wake_at), HolderMissing),
+        )
+    assert ended
+
+
 def test_a_search_ends_although_nobody_answers() -> None:
     search = HolderSearch(directory_of(3))
     search.handle(SEARCH, 0)
