Pass new flows on from busy agents

A new flow was placed by the reports of agents, which are up to half a second old, and the offers of one entry instance. A burst through all entry instances piled up at some backend servers, whose queue then answered 503 while slots elsewhere were free.

An agent now refuses a new flow as busy if its backend server has two requests in hand for each slot, flows that are being opened included. The flow goes to the next agent, and after three busy ones to the least loaded of them, which takes it.

Two faults that the count would have shown are mended with it: a repeated request that crossed its answer left the flow busy until the next answer, and so did a reset by the caller. A flow that is being placed is now given up 1.4 s after the caller's first packet, which the number of the copy tells, and not 1.4 s after the first copy that arrived.

Tried and taken back: flows that find all agents busy wait at the entry instance and are offered again.

--- a/packages/flows/src/persimmonreach/flows/__init__.py
+++ b/packages/flows/src/persimmonreach/flows/__init__.py
@@ -3,6 +3,7 @@
 from persimmonreach.flows._held import HeldFlows
 from persimmonreach.flows._holders import HolderTable
 from persimmonreach.flows._probing import FlowProber, ProbeSettings, SilentFlow
+from persimmonreach.flows._progress import RequestProgress
 from persimmonreach.flows._record import FlowEnd, HeldFlow
 
 __all__ = (
@@ -12,5 +13,6 @@
     'HeldFlows',
     'HolderTable',
     'ProbeSettings',
+    'RequestProgress',
     'SilentFlow',
 )
--- a/packages/flows/src/persimmonreach/flows/_held.py
+++ b/packages/flows/src/persimmonreach/flows/_held.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from persimmonreach.core import Endpoint, FlowKey
+from persimmonreach.flows._progress import RequestProgress
 from persimmonreach.flows._record import HeldFlow
 from persimmonreach.packets import RST, PacketHeader
 
@@ -26,6 +27,7 @@
         self._flows: dict[FlowKey, HeldFlow] = {}
         self._busy = 0
         self._closed = 0
+        self._progress = RequestProgress()
 
     def __len__(self) -> int:
         """Return the number of flows that are not closed."""
@@ -41,6 +43,10 @@
         """All flows, also those that closed a short time ago."""
         return tuple(self._flows)
 
+    def count_occupying(self, now: float) -> int:
+        """Return the flows that are being opened or wait for an answer."""
+        return self._progress.count(now)
+
     def items(self) -> ItemsView[FlowKey, HeldFlow]:
         """Return all flows with their keys."""
         return self._flows.items()
@@ -74,6 +80,8 @@
         self.remove(key)
         flow = HeldFlow(entry, now, is_new=is_new)
         self._flows[key] = flow
+        if is_new:
+            self._progress.note_admitted(key, now)
         return flow
 
     def adopt(self, key: FlowKey, now: float) -> None:
@@ -85,6 +93,7 @@
         """Forget a flow."""
         flow = self._flows.pop(key, None)
         if flow is not None:
+            self._progress.forget(key)
             self._busy -= flow.is_busy
             self._closed -= flow.is_closed
         return flow
@@ -93,11 +102,16 @@
         """Take note of a packet from the caller."""
         was_closed = flow.is_closed
         flow.is_open = True
+        # A repeated request may arrive after its answer was sent.
+        is_request = header.payload_size and flow.caller.is_ahead(header)
         flow.caller.observe(header, now)
         self._closed += flow.is_closed - was_closed
-        if header.payload_size and not flow.is_busy:
+        if header.flags & RST:
+            self._settle(header.key, flow)
+        elif is_request and not flow.is_busy:
             flow.is_busy = True
             self._busy += 1
+            self._progress.note_request(header.key, now)
 
     def note_backend(self, key: FlowKey, header: PacketHeader, now: float) -> None:
         """Take note of a packet from the backend server."""
@@ -108,9 +122,8 @@
             flow.is_open = True
         flow.backend.observe(header, now)
         self._closed += flow.is_closed - was_closed
-        if flow.is_busy and (header.payload_size or flow.is_closed):
-            flow.is_busy = False
-            self._busy -= 1
+        if header.payload_size or flow.is_closed:
+            self._settle(key, flow)
         if header.flags & RST:
             self.remove(key)
 
@@ -121,6 +134,13 @@
             self.remove(key)
         return len(idle)
 
+    def _settle(self, key: FlowKey, flow: HeldFlow) -> None:
+        """Note that no request waits for its answer."""
+        if flow.is_busy:
+            flow.is_busy = False
+            self._busy -= 1
+            self._progress.forget(key)
+
     def _is_over(self, flow: HeldFlow, now: float) -> bool:
         limit_s = CLOSED_S if flow.is_closed else self._retention_s
         return now - flow.used_at > limit_s
--- a/packages/flows/src/persimmonreach/flows/_record.py
+++ b/packages/flows/src/persimmonreach/flows/_record.py
@@ -47,12 +47,16 @@
         self.is_finished = False
         self._is_heard = False
 
+    def is_ahead(self, header: PacketHeader) -> bool:
+        """Whether a packet goes beyond all that this end has sent before."""
+        ahead = (header.next_sequence - self.next_sequence) % _SEQUENCE_MODULUS
+        return not self._is_heard or 0 < ahead < _HALF_RANGE
+
     def observe(self, header: PacketHeader, now: float) -> None:
         """Take note of a packet that this end sent."""
         self.heard_at = now
         # A repeated packet does not take the number back.
-        ahead = (header.next_sequence - self.next_sequence) % _SEQUENCE_MODULUS
-        if not self._is_heard or ahead < _HALF_RANGE:
+        if self.is_ahead(header):
             self.next_sequence = header.next_sequence
         self._is_heard = True
         self.probes = 0
--- a/packages/flows/tests/test_flow_table.py
+++ b/packages/flows/tests/test_flow_table.py
@@ -187,3 +187,33 @@
     flow = flows.add(KEY, ENTRY, 0, is_new=is_new)
     header = CODEC.read_inbound(build_inbound(KEY, Segment(PSH | ACK, 1, 51, b'request')))
     assert flow.is_chosen_by(header) is not is_new
+
+
+def test_a_repeated_request_does_not_count_after_its_answer() -> None:
+    """A copy that crossed the answer made the flow busy until it was forgotten."""
+    flows = HeldFlows(retention_s=60)
+    flows.add(KEY, ENTRY, 0, is_new=True)
+    request = Segment(ACK | PSH, 1, 1, b'request')
+    from_caller(flows, request, 0.01)
+    assert (flows.busy, flows.count_occupying(0.01)) == (1, 1)
+    from_backend(flows, Segment(ACK | PSH, 1, 8, b'answer'), 0.2)
+    from_caller(flows, request, 0.21)
+    assert (flows.busy, flows.count_occupying(0.21)) == (0, 0)
+    from_caller(flows, Segment(ACK | PSH, 8, 7, b'next'), 0.3)
+    assert (flows.busy, flows.count_occupying(0.3)) == (1, 1)
+
+
+def test_a_caller_that_resets_its_flow_waits_for_no_answer() -> None:
+    flows = HeldFlows(retention_s=60)
+    flows.add(KEY, ENTRY, 0, is_new=True)
+    from_caller(flows, Segment(ACK | PSH, 1, 1, b'request'), 0.01)
+    from_caller(flows, Segment(RST, 8, 1), 0.02)
+    assert (flows.busy, flows.count_occupying(0.02)) == (0, 0)
+
+
+def test_a_new_flow_occupies_the_server_until_its_caller_could_have_asked() -> None:
+    """Flows of callers that had given up kept the server busy for nothing."""
+    flows = HeldFlows(retention_s=60)
+    flows.add(KEY, ENTRY, 0, is_new=True)
+    assert flows.count_occupying(0.03) == 1
+    assert flows.count_occupying(0.2) == 0
--- a/packages/forwarding/src/persimmonreach/forwarding/_agent.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_agent.py
@@ -223,7 +223,7 @@
             case FlowsQueried():
                 return self._path.on_asked(event.sender, message, now)
             case EntryStatus():
-                return self._translate(self._announcer.handle(event, now))
+                return self._translate(self._announcer.handle(event, now), now)
             case _:
                 return (Count('messages_unexpected'),)
 
@@ -236,7 +236,7 @@
         deadline_s = self._gate.limits.drain_deadline_s
         if not deadline_s or now < self._drain_since + deadline_s:
             return ()
-        return self._path.end_all()
+        return self._path.end_all(now)
 
     def _on_report(self, event: BackendReported, now: float) -> tuple[Action, ...]:
         is_restart, is_current = self._run.observe(event, now)
@@ -246,9 +246,10 @@
         self._is_left = False
         actions: tuple[Action, ...] = ()
         if is_restart:
-            actions = self._path.reset_all()
+            actions = self._path.reset_all(now)
         state = AgentState.STOPPING if self._is_stopping else event.state
         self._gate.set_state(state, now + event.cold_s)
+        self._gate.set_slots(event.slots)
         return (*actions, *self._announce(event.slots, now))
 
     def _on_probe(self, is_up: bool | None, now: float) -> tuple[Action, ...]:
@@ -258,7 +259,7 @@
             self._run.note_down(now)
             return (
                 StateChange('backend_down', self._run.name, 'connection refused'),
-                *self._path.reset_all(),
+                *self._path.reset_all(now),
                 *self._set_state(AgentState.DOWN, now),
             )
         if is_up and was_down:
@@ -282,7 +283,7 @@
             int(cold_s * _MS_PER_S),
         )
         before = self._announcer.status.state
-        actions = self._translate(self._announcer.handle(load, now))
+        actions = self._translate(self._announcer.handle(load, now), now)
         if before == self._gate.state:
             return actions
         state = self._gate.state.name.lower()
@@ -292,7 +293,7 @@
         actions: list[Action] = list(self._path.on_tick(now))
         if self._liveness.take_due(now):
             actions.append(ProbeBackend())
-        actions.extend(self._translate(self._announcer.handle(event, now)))
+        actions.extend(self._translate(self._announcer.handle(event, now), now))
         if now >= self._tick_at:
             self._tick_at = now + _TICK_S
             actions.extend(self._path.sweep(now))
@@ -309,16 +310,16 @@
         publishing = PublishRound(self._path.open_flows, entries)
         return self._publisher.handle(publishing, now)
 
-    def _translate(self, actions: tuple[Action, ...]) -> tuple[Action, ...]:
+    def _translate(self, actions: tuple[Action, ...], now: float) -> tuple[Action, ...]:
         outside: list[Action] = []
         for action in actions:
             if isinstance(action, ZonesReported):
-                outside.extend(self._on_zones(action))
+                outside.extend(self._on_zones(action, now))
             else:
                 outside.append(action)
         return tuple(outside)
 
-    def _on_zones(self, reported: ZonesReported) -> tuple[Action, ...]:
+    def _on_zones(self, reported: ZonesReported, now: float) -> tuple[Action, ...]:
         was_out = self._gate.is_zone_out
         self._gate.set_zones(reported.zones_out)
         if was_out == self._gate.is_zone_out:
@@ -327,4 +328,4 @@
         change = StateChange('zone', ', '.join(reported.zones_out), state)
         if was_out or not self._policy.ends_flows_with_zone:
             return (change,)
-        return (change, *self._path.end_all())
+        return (change, *self._path.end_all(now))
--- a/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
@@ -157,10 +157,14 @@
             # A late copy of the first packet of a flow that is open.
             return (Count('first_packets_late'),)
         if flow is None:
-            occupancy = Occupancy(len(self._flows), self._flows.busy)
-            reason = self._gate.judge(message.limits, occupancy, now)
+            reason = self._gate.judge(
+                message.limits,
+                self._occupancy_at(now),
+                now,
+                is_final=message.is_final,
+            )
             if reason is not None:
-                return self._refuse(sender, header.key, reason)
+                return self._refuse(sender, header.key, reason, now)
             flow = self._flows.add(header.key, sender, now, is_new=True)
         flow.entry = sender
         self._liveness.expect_answer(FIRST_PACKET_WAIT_S, now)
@@ -193,7 +197,7 @@
     def on_backend_packet(self, packet: bytes, now: float) -> tuple[Action, ...]:
         """Decide on a packet from the backend server."""
         if self._packets.is_bounced(packet):
-            return self._on_bounced(packet)
+            return self._on_bounced(packet, now)
         try:
             header = self._packets.read_outbound(packet)
         except PacketError:
@@ -238,12 +242,12 @@
         self._run.note_all_known(now)
         return (Count('flows_adopted', count),)
 
-    def end_all(self) -> tuple[Action, ...]:
+    def end_all(self, now: float) -> tuple[Action, ...]:
         """Reset all flows toward callers and backend server."""
         resets = self._resets_inbound(self._flows.keys)
-        return (*resets, *self.reset_all())
+        return (*resets, *self.reset_all(now))
 
-    def reset_all(self) -> tuple[Action, ...]:
+    def reset_all(self, now: float) -> tuple[Action, ...]:
         """Tell callers and entry instances that all flows are gone."""
         actions: list[Action] = list(self._answers.deny_all())
         for key in self._flows.keys:
@@ -254,10 +258,15 @@
                 reset = self._packets.build_reset(key, flow.acknowledged)
                 actions.append(Reply(reset))
             elif flow.entry is not None:
-                actions.extend(self._refuse(flow.entry, key, RefusalReason.DOWN))
+                actions.extend(self._refuse(flow.entry, key, RefusalReason.DOWN, now))
         actions.append(Count('flows_lost_with_backend', len(actions)))
         return tuple(actions)
 
+    def _occupancy_at(self, now: float) -> Occupancy:
+        flows = self._flows
+        occupying = flows.count_occupying(now)
+        return Occupancy(len(flows), flows.busy, occupying)
+
     def _end_silent(self, action: Action) -> tuple[Action, ...]:
         if not isinstance(action, SilentFlow):
             return (action,)
@@ -291,21 +300,26 @@
         sender: Endpoint,
         key: FlowKey,
         reason: RefusalReason,
+        now: float,
     ) -> tuple[Action, ...]:
         name = reason.name.lower()
+        occupancy = self._occupancy_at(now)
+        load = self._gate.load_of(occupancy)
         inputs = {
             'reason': name,
             'state': self._gate.state.name.lower(),
-            'flows': len(self._flows),
+            'flows': occupancy.flows,
+            'requests': occupancy.requests,
+            'occupying': occupancy.occupying,
             'run': self._run.name,
         }
         return (
-            Send(sender, FlowRefused(key, self._agent, reason)),
+            Send(sender, FlowRefused(key, self._agent, reason, load)),
             Count(f'flows_refused_{name}'),
             Decision('flow_refused', key, 'refused', inputs),
         )
 
-    def _on_bounced(self, packet: bytes) -> tuple[Action, ...]:
+    def _on_bounced(self, packet: bytes, now: float) -> tuple[Action, ...]:
         sender = self._labels.find(self._packets.read_label(packet))
         packet = self._packets.restore(packet)
         header = self._read(packet)
@@ -313,17 +327,22 @@
         if header is None or sender is None:
             return (counted,)
         if header.is_first:
-            return (counted, *self._on_first_bounced(sender, header.key))
+            return (counted, *self._on_first_bounced(sender, header.key, now))
         self._flows.remove(header.key)
         denied = self._answers.on_returned(sender, header.key)
         return (counted, denied or Send(sender, PacketReturned(self._agent, packet)))
 
-    def _on_first_bounced(self, sender: Endpoint, key: FlowKey) -> tuple[Action, ...]:
+    def _on_first_bounced(
+        self,
+        sender: Endpoint,
+        key: FlowKey,
+        now: float,
+    ) -> tuple[Action, ...]:
         flow = self._flows.find(key)
         if flow is not None and flow.is_open:
             return ()
         self._flows.remove(key)
-        return self._refuse(sender, key, RefusalReason.FULL)
+        return self._refuse(sender, key, RefusalReason.FULL, now)
 
     def _read(self, packet: bytes) -> PacketHeader | None:
         try:
--- a/packages/forwarding/src/persimmonreach/forwarding/_caller_path.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_caller_path.py
@@ -199,7 +199,8 @@
             # A copy of a first packet: its answer was lost or is on its way.
             message = FirstPacket(limits, packet)
             return (Send(row.endpoint, message), Count('first_packets_repeated'))
-        return self.on_placement(PlaceFlow(header.key, limits, packet), now)
+        age_s = self._packets.first_packet_age(header)
+        return self.on_placement(PlaceFlow(header.key, limits, packet, age_s), now)
 
     def _refuse_route(self, header: PacketHeader) -> tuple[Action, ...]:
         if not self._routes.is_loaded:
--- a/packages/packets/src/persimmonreach/packets/_format.py
+++ b/packages/packets/src/persimmonreach/packets/_format.py
@@ -4,7 +4,12 @@
 from typing import Final
 
 from persimmonreach.core import Endpoint, FlowKey
-from persimmonreach.packets._header import HeaderCodec, PacketError, Segment
+from persimmonreach.packets._header import (
+    HeaderCodec,
+    PacketError,
+    PacketHeader,
+    Segment,
+)
 
 # Bytes of a label.
 LABEL_BYTES: Final = 4
@@ -64,6 +69,13 @@
 
         """
 
+    def first_packet_age(self, header: PacketHeader) -> float:
+        """Return the seconds from the caller's first packet to this copy of it.
+
+        A format whose copies do not differ returns 0.
+        """
+        return 0
+
     def build_inbound(self, key: FlowKey, segment: Segment) -> bytes:
         """Return a packet from the caller to the service.
 
--- a/packages/placement/src/persimmonreach/placement/_events.py
+++ b/packages/placement/src/persimmonreach/placement/_events.py
@@ -7,11 +7,25 @@
 
 
 class PlaceFlow(NamedTuple):
-    """Event: a new flow needs a backend server."""
+    """Event: a new flow needs a backend server.
+
+    Attributes
+    ----------
+    key
+        Flow.
+    limits
+        Service that the flow is meant for, and its limits.
+    packet
+        First packet, or the first copy of it that arrived.
+    age_s
+        Seconds since the caller sent the first packet.
+
+    """
 
     key: FlowKey
     limits: ServiceLimits
     packet: bytes
+    age_s: float = 0
 
 
 class ZonesChanged(NamedTuple):
--- a/packages/placement/src/persimmonreach/placement/_pending.py
+++ b/packages/placement/src/persimmonreach/placement/_pending.py
@@ -26,17 +26,29 @@
         Agent that has not answered yet.
     may_be_taken
         Whether an agent of this round may take the flow a little later.
+    busy
+        Load of the agents of this round that are busy.
+    started_at
+        Time at which the caller sent the first packet.
 
     """
 
-    __slots__ = ('current', 'event', 'may_be_taken', 'offered', 'started_at')
+    __slots__ = (
+        'busy',
+        'current',
+        'event',
+        'may_be_taken',
+        'offered',
+        'started_at',
+    )
 
     def __init__(self, event: PlaceFlow, now: float) -> None:
         self.event = event
-        self.started_at = now
+        self.started_at = now - event.age_s
         self.offered: list[AgentId] = []
         self.current: AgentId | None = None
         self.may_be_taken = False
+        self.busy: dict[AgentId, float] = {}
 
 
 class _SettledFlow:
@@ -79,6 +91,7 @@
         pending.offered.clear()
         pending.current = None
         pending.may_be_taken = False
+        pending.busy.clear()
         self._deadlines.put(pending.event.key, until)
 
     def drop(self, key: FlowKey) -> None:
--- a/packages/placement/src/persimmonreach/placement/_placement.py
+++ b/packages/placement/src/persimmonreach/placement/_placement.py
@@ -42,12 +42,19 @@
 SUSPICION_S: Final = 2
 # A flow that no agent can take at present is offered again after this time.
 RETRY_S: Final = 0.04
+# Busy agents that are asked before the least loaded of them has to take a flow.
+LARGEST_BUSY: Final = 3
 # Copies of a first packet and the answers to them end 1.4 s after the first one.
 FIRST_PACKET_LIFE_S: Final = 1.4
 _MS_PER_S: Final = 1000
 # Refusals that the same agent may take back within the life of a first packet.
 _PASSING_REASONS: Final = frozenset(
-    (RefusalReason.COLD, RefusalReason.DOWN, RefusalReason.STOPPING),
+    (
+        RefusalReason.BUSY,
+        RefusalReason.COLD,
+        RefusalReason.DOWN,
+        RefusalReason.STOPPING,
+    ),
 )
 _STATES_OF_REFUSALS: Final = MappingProxyType(
     {
@@ -161,6 +168,8 @@
         if pending is None or pending.current != refused.agent:
             return (counted,)
         pending.may_be_taken |= reason in _PASSING_REASONS
+        if reason is RefusalReason.BUSY:
+            pending.busy[refused.agent] = refused.load
         return (counted, *self._offer(pending, now))
 
     def _on_tick(self, now: float) -> tuple[Action, ...]:
@@ -182,16 +191,30 @@
         event = pending.event
         service = event.limits.service
         row = self.first_choice(event.key, service, now, pending.offered)
+        is_final = row is None or len(pending.busy) >= LARGEST_BUSY
+        if is_final:
+            row = self._least_busy(pending)
         if row is None:
             return self._wait(pending, now)
         row.note_offer()
         self._pending.offer(pending, row.agent, now + OFFER_TIMEOUT_S)
-        offer = FirstPacket(event.limits, event.packet)
+        offer = FirstPacket(event.limits, event.packet, is_final)
         return (Send(row.endpoint, offer),)
 
+    def _least_busy(self, pending: PendingFlow) -> AgentRow | None:
+        """Return the least loaded of the agents that are busy, once each."""
+        busy = pending.busy
+        while busy:
+            agent = min(busy, key=busy.__getitem__)
+            busy.pop(agent)
+            row = self._directory.find(agent)
+            if row is not None:
+                return row
+        return None
+
     def _wait(self, pending: PendingFlow, now: float) -> tuple[Action, ...]:
         """Offer the flow again soon, unless it is known that nobody takes it."""
-        if now >= pending.started_at + FIRST_PACKET_LIFE_S:
+        if now + RETRY_S >= pending.started_at + FIRST_PACKET_LIFE_S:
             self._pending.drop(pending.event.key)
             inputs = self._inputs_of(pending, now)
             return (
@@ -250,7 +273,8 @@
         return ordered[0] if ordered else None
 
     def _may_take(self, row: AgentRow) -> bool:
-        return not row.is_leaving and row.status.zone not in self._zones_out
+        is_possible = not (row.is_leaving or row.is_unreachable)
+        return is_possible and row.status.zone not in self._zones_out
 
 
 def _is_good(row: AgentRow, now: float) -> bool:
--- a/packages/placement/src/persimmonreach/placement/messages.py
+++ b/packages/placement/src/persimmonreach/placement/messages.py
@@ -18,6 +18,7 @@
     ZONE_OUT = 5
     OTHER_SERVICE = 6
     STOPPING = 7
+    BUSY = 8
 
 
 class FirstPacket(NamedTuple):
@@ -30,11 +31,15 @@
         its backend servers bear.
     packet
         Packet as it came from the caller.
+    is_final
+        Whether all agents that were asked are busy, so that this one takes the
+        flow although it is busy too.
 
     """
 
     limits: ServiceLimits
     packet: bytes
+    is_final: bool = False
 
 
 class FlowAccepted(NamedTuple):
@@ -57,11 +62,25 @@
 
 
 class FlowRefused(NamedTuple):
-    """The agent does not take the flow; nothing has run."""
+    """The agent does not take the flow; nothing has run.
+
+    Attributes
+    ----------
+    key
+        Flow.
+    agent
+        Agent that refuses it.
+    reason
+        Why.
+    load
+        Requests in hand for each slot of its backend server.
+
+    """
 
     key: FlowKey
     agent: AgentId
     reason: RefusalReason
+    load: float = 0
 
 
 MESSAGE_TYPES: Final = MappingProxyType(
--- a/packages/placement/tests/test_gate.py
+++ b/packages/placement/tests/test_gate.py
@@ -85,3 +85,26 @@
     assert made.judge(limits, Occupancy(9, 0), 1) is None
     assert made.judge(limits, Occupancy(9, 1), 2) is RefusalReason.COLD
     assert made.judge(limits, Occupancy(9, 1), 11) is None
+
+
+def test_a_busy_backend_server_passes_new_flows_on_unless_it_is_the_last_choice() -> None:
+    """New flows queued behind others while a slot elsewhere was free."""
+    made = gate()
+    made.set_slots(1)
+    assert made.judge(LIMITS, Occupancy(occupying=1), 1) is None
+    assert made.judge(LIMITS, Occupancy(occupying=2), 1) is RefusalReason.BUSY
+    assert made.judge(LIMITS, Occupancy(occupying=9), 1, is_final=True) is None
+
+
+def test_the_last_choice_is_still_limited_while_it_is_cold() -> None:
+    """FAILBACK holds whatever the load of the others is."""
+    made = gate(cold_until=10)
+    made.set_slots(1)
+    limits = LIMITS._replace(cold_per_s=1)
+    assert made.judge(limits, Occupancy(occupying=5), 1, is_final=True) is None
+    refused = made.judge(limits, Occupancy(occupying=5), 1.5, is_final=True)
+    assert refused is RefusalReason.COLD
+
+
+def test_a_backend_server_whose_slots_are_not_known_is_not_busy() -> None:
+    assert gate().judge(LIMITS, Occupancy(occupying=50), 1) is None
--- a/packages/placement/tests/test_placement.py
+++ b/packages/placement/tests/test_placement.py
@@ -227,3 +227,31 @@
     assert FlowPlaced(KEY, first) in placed
     assert not has(bench.accept(second, 5000, 0.16), FlowPlaced)
     assert bench.placement.holder_of(KEY, 5001) == second
+
+
+def test_the_least_loaded_of_the_busy_agents_takes_the_flow() -> None:
+    """A flow that waits while all are busy loses its turn to later ones."""
+    bench = Bench(agents=6)
+    agent = offered(bench.place())
+    asked = []
+    for load in (3, 2, 4):
+        asked.append(agent)
+        refused = FlowRefused(KEY, agent, RefusalReason.BUSY, load)
+        actions = bench.placement.handle(Received(place_of(agent), refused), 0.01)
+        agent = offered(actions)
+    assert agent == asked[1]
+    assert all(send.message.is_final for send in actions if isinstance(send, Send))
+
+
+def test_a_flow_is_given_up_when_its_caller_does() -> None:
+    """A first packet that is placed later opens a flow that nobody uses."""
+    bench = Bench(agents=1)
+    place = PLACE._replace(age_s=0.6)
+    agent = offered(bench.placement.handle(place, 0))
+    bench.refuse(agent, RefusalReason.COLD, 0.01)
+    given_up = 0.0
+    while bench.placement.wake_at < 10:
+        given_up = bench.placement.wake_at
+        if offered(bench.placement.handle(Tick(), given_up)):
+            bench.refuse(agent, RefusalReason.COLD, given_up + 0.005)
+    assert 0.6 < given_up < 0.8
--- a/packages/platform/src/persimmonreach/platform/packets.py
+++ b/packages/platform/src/persimmonreach/platform/packets.py
@@ -41,6 +41,9 @@
 _WIRE_RST: Final = 4
 _WIRE_BOUNCED: Final = 8
 _BYTE_VALUES: Final = 256
+# Seconds from a first packet to each of its copies, which are numbered in the
+# field of the acknowledgement.
+_COPY_AGES_S: Final = (0, 0.2, 0.6)
 _NO_LABEL: Final = bytes(4)
 _FLAG_NAMES: Final = MappingProxyType(
     {_WIRE_SYN: SYN, _WIRE_ACK: ACK, _WIRE_FIN: FIN, _WIRE_RST: RST},
@@ -116,6 +119,11 @@
         restored[_LABEL] = _NO_LABEL
         return bytes(restored)
 
+    def first_packet_age(self, header: PacketHeader) -> float:
+        """Return the seconds from the caller's first packet to this copy of it."""
+        copy = min(header.acknowledgement, len(_COPY_AGES_S) - 1)
+        return _COPY_AGES_S[copy]
+
     def build_reset(self, key: FlowKey, acknowledged: int) -> bytes:
         """Return a reset toward the caller; it carries no checksum."""
         # The source of the key is the destination of the reset.
