Do not take a half-open flow for open when its record was removed

A copy of a first packet that was held up is placed at a second backend server while the flow is open at the first. If a packet of the open flow reached the second agent between the copy and the server's answer, the agent removed its record and returned the packet; the answer then looked like one of a flow that was open before the agent started. The agent claimed the flow and delivered the next packets, which the half-open server resets.

An answer to a first packet now only notes the server's number; the flow is open once the caller acknowledges it.

--- a/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
@@ -21,6 +21,7 @@
     ProbeSettings,
     SilentFlow,
 )
+from persimmonreach.forwarding._admission import FlowAdmission
 from persimmonreach.forwarding._backend import BackendRun
 from persimmonreach.forwarding._flow_answers import FlowAnswers
 from persimmonreach.forwarding._labels import Labels
@@ -42,8 +43,6 @@
     AdmissionGate,
     FirstPacket,
     FlowAccepted,
-    FlowRefused,
-    Occupancy,
     RefusalReason,
 )
 
@@ -83,13 +82,13 @@
     ) -> None:
         self._agent = agent
         self._packets = packets
-        self._gate = gate
         self._run = run
         self._liveness = liveness
         self._flows = HeldFlows(_FLOW_RETENTION_S)
         self._prober = FlowProber(probing, packets)
         self._sweep_at: float = 0
         self._labels = Labels()
+        self._admission = FlowAdmission(agent, gate, self._flows, run)
         self._answers = FlowAnswers(agent, packets, self._flows, run, liveness)
 
     @property
@@ -157,14 +156,9 @@
             # A late copy of the first packet of a flow that is open.
             return (Count('first_packets_late'),)
         if flow is None:
-            reason = self._gate.judge(
-                message.limits,
-                self._occupancy_at(now),
-                now,
-                is_final=message.is_final,
-            )
+            reason = self._admission.judge(message, now)
             if reason is not None:
-                return self._refuse(sender, header.key, reason, now)
+                return self._admission.refuse(sender, header.key, reason, now)
             flow = self._flows.add(header.key, sender, now, is_new=True)
         flow.entry = sender
         self._liveness.expect_answer(FIRST_PACKET_WAIT_S, now)
@@ -202,15 +196,13 @@
             header = self._packets.read_outbound(packet)
         except PacketError:
             return (Count('packets_malformed'),)
-        flow = self._flows.find(header.key)
-        actions: tuple[Action, ...] = ()
-        if flow is None:
+        if header.flags & SYN:
+            actions = self._on_accepted(header, now)
+        elif self._flows.find(header.key) is None:
             self._flows.add(header.key, None, now)
             actions = self._answers.on_heard(header.key)
-        elif header.flags & SYN and flow.entry is not None:
-            flow.sequence = header.sequence
-            accepted = FlowAccepted(header.key, self._agent, header.sequence)
-            actions = (Send(flow.entry, accepted),)
+        else:
+            actions = ()
         self._flows.note_backend(header.key, header, now)
         return (Reply(packet), *actions)
 
@@ -258,15 +250,12 @@
                 reset = self._packets.build_reset(key, flow.acknowledged)
                 actions.append(Reply(reset))
             elif flow.entry is not None:
-                actions.extend(self._refuse(flow.entry, key, RefusalReason.DOWN, now))
+                actions.extend(
+                    self._admission.refuse(flow.entry, key, RefusalReason.DOWN, now)
+                )
         actions.append(Count('flows_lost_with_backend', len(actions)))
         return tuple(actions)
 
-    def _occupancy_at(self, now: float) -> Occupancy:
-        flows = self._flows
-        occupying = flows.count_occupying(now)
-        return Occupancy(len(flows), flows.busy, occupying)
-
     def _end_silent(self, action: Action) -> tuple[Action, ...]:
         if not isinstance(action, SilentFlow):
             return (action,)
@@ -295,30 +284,6 @@
             if (flow := known or self._flows.find(key)) is not None
         )
 
-    def _refuse(
-        self,
-        sender: Endpoint,
-        key: FlowKey,
-        reason: RefusalReason,
-        now: float,
-    ) -> tuple[Action, ...]:
-        name = reason.name.lower()
-        occupancy = self._occupancy_at(now)
-        load = self._gate.load_of(occupancy)
-        inputs = {
-            'reason': name,
-            'state': self._gate.state.name.lower(),
-            'flows': occupancy.flows,
-            'requests': occupancy.requests,
-            'occupying': occupancy.occupying,
-            'run': self._run.name,
-        }
-        return (
-            Send(sender, FlowRefused(key, self._agent, reason, load)),
-            Count(f'flows_refused_{name}'),
-            Decision('flow_refused', key, 'refused', inputs),
-        )
-
     def _on_bounced(self, packet: bytes, now: float) -> tuple[Action, ...]:
         sender = self._labels.find(self._packets.read_label(packet))
         packet = self._packets.restore(packet)
@@ -332,6 +297,19 @@
         denied = self._answers.on_returned(sender, header.key)
         return (counted, denied or Send(sender, PacketReturned(self._agent, packet)))
 
+    def _on_accepted(self, header: PacketHeader, now: float) -> tuple[Action, ...]:
+        """Note that the backend server has answered a first packet.
+
+        The caller may have opened the flow at another backend server, so it is
+        not open here before the caller acknowledges this number.
+        """
+        flow = self._flows.find(header.key) or self._flows.add(header.key, None, now)
+        flow.sequence = header.sequence
+        if flow.entry is None:
+            return ()
+        accepted = FlowAccepted(header.key, self._agent, header.sequence)
+        return (Send(flow.entry, accepted),)
+
     def _on_first_bounced(
         self,
         sender: Endpoint,
@@ -342,7 +320,7 @@
         if flow is not None and flow.is_open:
             return ()
         self._flows.remove(key)
-        return self._refuse(sender, key, RefusalReason.FULL, now)
+        return self._admission.refuse(sender, key, RefusalReason.FULL, now)
 
     def _read(self, packet: bytes) -> PacketHeader | None:
         try:
