Ask all agents at once if no round is under way

A search that asks all agents waited for 1 ms for each agent before its questions were sent, so that the flows of a burst share their messages; lookups that came that far took 65 to 265 ms (target 50 ms). The wait is now between two rounds and no longer before the first one: a single flow is asked for at once, a burst still costs one round in 1 ms for each agent.

--- a/packages/lookup/src/persimmonreach/lookup/_queries.py
+++ b/packages/lookup/src/persimmonreach/lookup/_queries.py
@@ -8,12 +8,12 @@
 from persimmonreach.discovery import AgentRow
 from persimmonreach.lookup.messages import FlowsQueried
 
-# Flows that are searched for within this time, for each agent to ask, share
-# their messages: an entry instance asks at most 1,000 agents a second. After a
-# restart every flow of a zone is searched for at once.
-GATHER_PER_AGENT_S: Final = 0.001
-# Longest time for which flows are gathered; callers retransmit after 0.2 s.
-LONGEST_GATHER_S: Final = 0.1
+# Time between two rounds of questions for each agent to ask: an entry instance
+# asks at most 1,000 agents a second. After a restart every flow of a zone is
+# searched for at once; flows that have to wait share their messages.
+ROUND_PER_AGENT_S: Final = 0.001
+# Longest time between two rounds; callers retransmit after 0.2 s.
+LONGEST_ROUND_S: Final = 0.1
 # Keys of 14 bytes that fit a datagram of 1,200 bytes.
 KEYS_PER_MESSAGE: Final = 64
 # Answers come within 0.1 s; at 70 agents this holds the questions of 0.4 s.
@@ -36,6 +36,7 @@
     def __init__(self) -> None:
         self._waiting: list[FlowKey] = []
         self._send_at = inf
+        self._next_round_at = -inf
         self._asked: dict[AgentId, _Asked] = {}
         self._questions: OrderedDict[int, _Question] = OrderedDict()
         self._number = 0
@@ -46,10 +47,12 @@
         return self._send_at
 
     def add(self, key: FlowKey, agents: int, now: float) -> None:
-        """Gather a flow that all agents are asked for."""
+        """Gather a flow that all agents are asked for in the next round."""
         if not self._waiting:
-            self._send_at = now + min(agents * GATHER_PER_AGENT_S, LONGEST_GATHER_S)
+            self._send_at = max(now, self._next_round_at)
         self._waiting.append(key)
+        round_s = min(agents * ROUND_PER_AGENT_S, LONGEST_ROUND_S)
+        self._next_round_at = max(self._next_round_at, self._send_at + round_s)
 
     def take_waiting(self) -> tuple[FlowKey, ...]:
         """Return the flows that were gathered."""
