--- a/packages/discovery/src/persimmonreach/discovery/_directory.py
+++ b/packages/discovery/src/persimmonreach/discovery/_directory.py
@@ -199,19 +199,25 @@
         if now < self._greet_at:
             return ()
         self._greet_at = now + GREETING_S
-        unreachable = self._find_unreachable(now)
         is_round = now >= self._greet_silent_at
         if is_round:
             self._greet_silent_at = now + SILENT_GREETING_S
-        greetings = (
-            Send(row.endpoint, self._status)
+        unanswered = [
+            row
             for row in self._rows.values()
             if not row.was_heard or (is_round and row.is_silent(now))
-        )
-        return (*unreachable, *greetings)
+        ]
+        greetings = (Send(row.endpoint, self._status) for row in unanswered)
+        return (*self._find_unreachable(unanswered, now), *greetings)
 
-    def _find_unreachable(self, now: float) -> tuple[Action, ...]:
+    def _find_unreachable(
+        self,
+        unanswered: list[AgentRow],
+        now: float,
+    ) -> tuple[Action, ...]:
         """Note agents that do not answer, if this entry instance is not cut off."""
+        if not unanswered:
+            return ()
         answering = sum(not row.is_silent(now) for row in self._rows.values())
         if 2 * answering <= len(self._rows):
             self._most_answer_since = inf
@@ -219,7 +225,7 @@
         self._most_answer_since = min(self._most_answer_since, now)
         found = [
             row
-            for row in self._rows.values()
+            for row in unanswered
             if row.is_unanswered(self._most_answer_since, now) and not row.is_unreachable
         ]
         return tuple(_note_unreachable(row) for row in found)
