--- a/packages/discovery/tests/test_peers.py
+++ b/packages/discovery/tests/test_peers.py
@@ -136,3 +136,23 @@
     ]
     assert sum(len(part.agents) for part in rows) == 61
     assert max(len(part.agents) for part in rows) <= 20
+
+
+def test_an_agent_is_learned_although_most_listed_peers_are_gone() -> None:
+    """Soak seed 14: a new entry instance missed a resumed agent for 5 s.
+
+    It asked one peer a second, and those that it chose had been killed; the
+    watcher, which told it each second, did not tell its agents.
+    """
+    group = Group()
+    gone = tuple(
+        ListedEntry(f'gone-{port}', 'z', Endpoint('10.8.0.1', port)) for port in range(20)
+    )
+    group.meet()
+    for peers in group.peers.values():
+        peers.handle(EntriesListed(gone), group.now)
+    group.run(1)
+    group.hear('e1', 'agent-late')
+    group.run(2.5)
+    for directory in group.directories.values():
+        assert directory.find('agent-late') is not None
