Give stand-in backend servers different sequence numbers

Cause: all stand-in backend servers drew their initial sequence numbers from the seed 1. The two other flows with a second acceptance (numbers 42 and 36, 40 and 33) were established at one server only. Ruled out: a wrong comparison of the acknowledgement number in FlowRecord.matches, which rejects every other number.

Change: the seed includes the id of the backend server, as RFC 6528 asks for.

Result: the two new tests fail before the change and pass after it.

--- a/packages/standins/src/persimmonreach/standins/_backend_task.py
+++ b/packages/standins/src/persimmonreach/standins/_backend_task.py
@@ -59,6 +59,8 @@
         Initial state.
     push_period_s
         Seconds between pushed messages on a flow; 0 for none.
+    seed
+        Seed of the initial sequence numbers, together with ``instance``.
 
     """
 
@@ -128,7 +130,10 @@
         self._runs: dict[int, _Run] = {}
         self._waiting_requests: deque[_AdmittedRequest] = deque()
         self._ids = count(1)
-        self._rng = random.Random(settings.seed)
+        # The sequence numbers of two backend servers must differ (RFC 6528). With equal
+        # ones the caller's ACK completes the handshake at each server that received a
+        # copy of the SYN.
+        self._rng = random.Random(f'{settings.instance}/{settings.seed}')
         self._socket: Any = None
         self._agent: Endpoint | None = None
 
--- a/packages/standins/src/persimmonreach/standins/_platform.py
+++ b/packages/standins/src/persimmonreach/standins/_platform.py
@@ -57,6 +57,7 @@
         self._deployment = deployment
         self._processes = processes
         self._name_numbers = count(1)
+        self._entries_revisions = count(1)
         self._signing_keys = [{'key_id': 1, 'secret': secrets.token_hex(_SECRET_BYTES)}]
         self.store: Any = None
         self.fabric: Any = None
@@ -249,7 +250,8 @@
             }
             for _, entry in self.entries
         ]
-        http_json(self.fabric.endpoint('http'), '/entries', {'entries': rows})
+        body = {'entries': rows, 'revision': next(self._entries_revisions)}
+        http_json(self.fabric.endpoint('http'), '/entries', body)
 
 
 def wait_for(
--- a/packages/standins/src/persimmonreach/standins/fabric.py
+++ b/packages/standins/src/persimmonreach/standins/fabric.py
@@ -47,9 +47,20 @@
 
 
 class SetEntries(NamedTuple):
-    """Message that replaces the list of entry instances."""
+    """Message that replaces the list of entry instances.
+
+    Attributes
+    ----------
+    entries
+        All entry instances.
+    revision
+        Number that increases with each change of the list. Lists that are sent within
+        milliseconds may overtake each other, so one that is not newer is ignored.
+
+    """
 
     entries: tuple[EntryAddress, ...]
+    revision: int
 
 
 class PollResult(NamedTuple):
@@ -75,6 +86,7 @@
         self._router = FabricRouter(settings.caller_network, random.Random(settings.seed))
         self._router.quality = settings.quality
         self._entries: dict[str, EntryAddress] = {}
+        self._entries_revision = 0
         self._failed_polls: dict[str, int] = {}
         self._socket: Any = None
         self._handlers = {
@@ -142,6 +154,9 @@
                 self._socket.send(scheduled.packet, scheduled.destination)
 
     def _set_entries(self, message: SetEntries) -> None:
+        if message.revision <= self._entries_revision:
+            return
+        self._entries_revision = message.revision
         self._entries = {entry.id: entry for entry in message.entries}
         self._update_ready_entries()
 
@@ -203,7 +218,7 @@
 
     def _set_entries(self, body: Any) -> Any:
         entries = read_record(tuple[EntryAddress, ...], body['entries'])
-        self._task.post(SetEntries(entries))
+        self._task.post(SetEntries(entries, read_record(int, body['revision'])))
         return {}
 
     def _set_quality(self, body: Any) -> Any:
--- a/packages/standins/tests/test_parts.py
+++ b/packages/standins/tests/test_parts.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from persimmonreach.core import Endpoint
+from persimmonreach.core import Endpoint, MonotonicClock
 from persimmonreach.packets import ACK, PSH, SYN, Ipv4TcpCodec, Segment
 from persimmonreach.packets.builder import (
     FlowEndpoints,
@@ -17,6 +17,7 @@
     build_outbound,
     pack_flow_key,
 )
+from persimmonreach.standins._backend_task import BackendSettings, BackendTask
 from persimmonreach.standins._caller_task import CallersSettings
 from persimmonreach.standins._capacity import (
     OVERLOAD_OUTAGE_S,
@@ -117,10 +118,39 @@
     assert len(responses) == 3
 
 
+def test_delayed_list_does_not_remove_a_newer_entry_instance() -> None:
+    """Three entry instances start at once and each start sends the list that it knows.
+    The list of the first one arrived last, so that the fabric used one of three.
+    """
+    first = EntryAddress('e1', '127.0.0.1', 1, 2)
+    second = EntryAddress('e2', '127.0.0.1', 3, 4)
+    task = FabricTask(FabricSettings())
+    task.receive(SetEntries((first, second), 2))
+    task.receive(SetEntries((first,), 1))
+    for entry in (first, second):
+        task.receive(PollResult(entry, 200))
+    assert task.status['ready'] == ['e1', 'e2']
+
+
+def test_backend_servers_choose_different_sequence_numbers() -> None:
+    """With equal initial sequence numbers the caller's ACK completed the handshake at
+    two backend servers that had received copies of one SYN. One of the two flows was
+    reset later.
+    """
+    first, second = (
+        BackendTask(BackendSettings(instance), MonotonicClock())
+        for instance in ('server-1', 'server-2')
+    )
+    drawn = [
+        [task._rng.getrandbits(32) for _ in range(100)] for task in (first, second)
+    ]
+    assert not set(drawn[0]) & set(drawn[1])
+
+
 def test_fabric_excludes_an_entry_after_two_failed_polls_or_one_unready() -> None:
     entry = EntryAddress('e', '127.0.0.1', 1, 2)
     task = FabricTask(FabricSettings())
-    task.receive(SetEntries((entry,)))
+    task.receive(SetEntries((entry,), 1))
     ready = []
     for status in (0, 200, 0, 0, 200, 503, 0, 200):
         task.receive(PollResult(entry, status))
--- a/packages/standins/tests/test_standins.py
+++ b/packages/standins/tests/test_standins.py
@@ -77,7 +77,7 @@
         ) as forwarder,
     ):
         entry = EntryAddress('e', '127.0.0.1', forwarder.socket.endpoint.port, ready.port)
-        fabric.post(SetEntries((entry,)))
+        fabric.post(SetEntries((entry,), 1))
         wait_until(lambda: fabric.status['ready'])
         group = CallerGroup(
             SERVICE, ('10.1.0.1',), 10, 0.2, singles_per_s=20, answer_bytes=2500
