Keep half-open flows of a restarted agent

Cause: an agent of the product's front end took the list of established flows of its backend server for complete, and its own first report for the first one of the backend server. Ruled out: waiting at the entry instance, since it may be restarted too and does not know when a list was taken.

Change: the list is complete only after the longest handshake (63 s). Until then the agent delivers packets of unknown flows. A backend server that does not bounce packets resets a flow that it does not hold; the agent takes such a reset for a negative response, returns the packet to the entry instance, and does not send the reset to the caller. A flow stays unconfirmed, and is neither published nor reported as held, until the backend server has sent a packet of it. The resets of flows move to a module of their own.

--- a/packages/daemon/src/persimmonreach/daemon/_monitor.py
+++ b/packages/daemon/src/persimmonreach/daemon/_monitor.py
@@ -176,6 +176,8 @@
                 _AGENT_STATES[state],
                 1,
                 cold_s,
+                # Reports are counted from the start of the agent.
+                counts_from_start=False,
             ),
         )
 
--- a/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
@@ -10,19 +10,12 @@
     Deliver,
     Endpoint,
     FlowKey,
-    LogDecision,
     Send,
     SendToCaller,
 )
-from persimmonreach.flows import (
-    FlowProber,
-    FlowRecord,
-    FlowTable,
-    ProbeSettings,
-    UnresponsiveFlow,
-)
+from persimmonreach.flows import FlowProber, FlowTable, ProbeSettings
 from persimmonreach.forwarding._admission import FlowAdmission
-from persimmonreach.forwarding._holder_queries import HolderQueryResponder
+from persimmonreach.forwarding._holder_queries import HolderQueryResponder, KnownFlows
 from persimmonreach.forwarding._incarnations import BackendIncarnations
 from persimmonreach.forwarding._labels import EntryLabels
 from persimmonreach.forwarding._liveness import (
@@ -30,6 +23,8 @@
     SYN_RESPONSE_TIMEOUT_S,
     BackendLiveness,
 )
+from persimmonreach.forwarding._resets import FlowResets
+from persimmonreach.forwarding._unconfirmed import UnconfirmedFlows
 from persimmonreach.lookup import FlowsQuery, PacketReturned
 from persimmonreach.packets import (
     RST,
@@ -37,7 +32,6 @@
     PacketError,
     PacketFormat,
     PacketHeader,
-    Segment,
 )
 from persimmonreach.placement import (
     AdmissionController,
@@ -91,8 +85,14 @@
         self._admission = FlowAdmission(
             agent, admission_controller, self._flows, incarnations
         )
+        self._resets = FlowResets(packet_format, self._flows, self._admission)
+        self._unconfirmed_flows = UnconfirmedFlows()
         self._query_responder = HolderQueryResponder(
-            agent, packet_format, self._flows, incarnations, liveness
+            agent,
+            packet_format,
+            KnownFlows(self._flows, self._unconfirmed_flows),
+            incarnations,
+            liveness,
         )
 
     @property
@@ -116,7 +116,7 @@
         return (
             key
             for key, flow in self._flows.items()
-            if flow.is_open and not flow.is_closed
+            if flow.is_open and not flow.is_closed and key not in self._unconfirmed_flows
         )
 
     def on_routed_packet(
@@ -126,7 +126,8 @@
 
         A packet of a flow that is not held here is returned to the sender. If
         the agent may have missed flows, the packet of an unknown flow is
-        delivered: the backend server bounces it if it does not hold the flow.
+        delivered: the backend server bounces or resets it if it does not hold the
+        flow.
         """
         header = self._parse_inbound(packet)
         if header is None:
@@ -135,12 +136,14 @@
         if flow is None:
             if self._incarnations.are_all_flows_known(now):
                 return (Send(sender, PacketReturned(self._agent, packet)),)
-            if not self._packet_format.can_bounce:
-                return (Count('packets_before_flows'),)
             flow = self._flows.add(header.key, sender, now)
+            if not self._packet_format.can_bounce:
+                self._unconfirmed_flows.add(header.key, packet, now)
         elif not flow.matches(header):
             self._flows.remove(header.key)
             return (Send(sender, PacketReturned(self._agent, packet)),)
+        elif header.key in self._unconfirmed_flows:
+            self._unconfirmed_flows.add(header.key, packet, now)
         flow.entry_endpoint = sender
         self._flows.observe_caller_packet(flow, header, now)
         if header.payload_size:
@@ -178,9 +181,12 @@
         if header is None:
             return (Count('packets_malformed'),)
         must_deliver, actions = self._query_responder.on_packet_query(sender, header, now)
-        if must_deliver:
-            return (self._build_delivery(sender, packet), *actions)
-        return actions
+        if not must_deliver:
+            return actions
+        if self._query_responder.is_pending(header.key):
+            if not self._packet_format.can_bounce:
+                self._unconfirmed_flows.add(header.key, packet, now)
+        return (self._build_delivery(sender, packet), *actions)
 
     def on_key_query(
         self, sender: Endpoint, query: FlowsQuery, now: float
@@ -196,13 +202,19 @@
             header = self._packet_format.read_outbound(packet)
         except PacketError:
             return (Count('packets_malformed'),)
+        if header.flags & RST and not self._packet_format.can_bounce:
+            rejected_packet = self._unconfirmed_flows.reject(header.key, now)
+            if rejected_packet is not None:
+                return self._on_rejected_packet(header.key, rejected_packet)
+            if self._unconfirmed_flows.was_rejected(header.key, now):
+                return (Count('resets_repeated'),)
+        self._unconfirmed_flows.confirm(header.key)
         if header.flags & SYN:
             actions = self._on_syn_ack(header, now)
-        elif self._flows.find(header.key) is None:
-            self._flows.add(header.key, None, now)
-            actions = self._query_responder.resolve_held(header.key)
         else:
-            actions = ()
+            if self._flows.find(header.key) is None:
+                self._flows.add(header.key, None, now)
+            actions = self._query_responder.resolve_held(header.key)
         self._flows.observe_backend_packet(header.key, header, now)
         return (SendToCaller(packet), *actions)
 
@@ -219,10 +231,11 @@
         if now >= self._next_sweep_at:
             self._next_sweep_at = now + _SWEEP_INTERVAL_S
             self._flows.remove_expired(now)
+            self._unconfirmed_flows.remove_expired(now)
         return tuple(
             replacement
             for action in self._prober.probe(self._flows, now)
-            for replacement in self._reset_unresponsive(action)
+            for replacement in self._resets.reset_unresponsive(action)
         )
 
     def adopt(self, keys: Iterable[FlowKey], now: float) -> tuple[Action, ...]:
@@ -235,63 +248,35 @@
         return (Count('flows_adopted', adopted_count),)
 
     def reset_both_ends(self, now: float) -> tuple[Action, ...]:
-        """Reset all flows toward callers and backend server, and remove them."""
-        resets = self._build_backend_resets(self._flows.keys)
-        return (*resets, *self.reset_callers(now))
+        """Reset all flows toward callers and backend server, and remove them.
+
+        All pending queries get a negative response.
+        """
+        responses = self._query_responder.resolve_all_missing()
+        return (*responses, *self._resets.reset_both_ends(now))
 
     def reset_callers(self, now: float) -> tuple[Action, ...]:
         """Reset all flows toward callers, and remove them.
 
-        Flows without a completed handshake are refused, so that their entry
-        instances can place them elsewhere. All pending queries get a negative
-        response.
+        All pending queries get a negative response.
         """
-        actions: list[Action] = list(self._query_responder.resolve_all_missing())
-        for key in self._flows.keys:
-            flow = self._flows.remove(key)
-            if flow is None:
-                continue
-            if flow.is_open:
-                reset = self._packet_format.build_reset(key, flow.acknowledged)
-                actions.append(SendToCaller(reset))
-            elif flow.entry_endpoint is not None:
-                actions.extend(
-                    self._admission.refuse(
-                        flow.entry_endpoint, key, RefusalReason.DOWN, now
-                    )
-                )
-        actions.append(Count('flows_lost_with_backend', len(actions)))
-        return tuple(actions)
-
-    def _reset_unresponsive(self, action: Action) -> tuple[Action, ...]:
-        if not isinstance(action, UnresponsiveFlow):
-            return (action,)
-        flow = self._flows.remove(action.key)
-        acknowledged = flow.acknowledged if flow else 0
-        reset = self._packet_format.build_reset(action.key, acknowledged)
-        return (
-            *self._build_backend_resets((action.key,), flow),
-            SendToCaller(reset),
-            Count('flows_ended_silent'),
-            LogDecision('flow_ended', action.key, 'silent', {}),
-        )
+        responses = self._query_responder.resolve_all_missing()
+        return (*responses, *self._resets.reset_callers(now))
 
-    def _build_backend_resets(
-        self,
-        keys: Iterable[FlowKey],
-        removed_flow: FlowRecord | None = None,
-    ) -> tuple[Action, ...]:
-        if not self._packet_format.can_build_segments:
-            return ()
-        return tuple(
-            Deliver(
-                self._packet_format.build_inbound(
-                    key, Segment(RST, flow.backend.acknowledged)
-                )
-            )
-            for key in keys
-            if (flow := removed_flow or self._flows.find(key)) is not None
-        )
+    def _on_rejected_packet(self, key: FlowKey, packet: bytes) -> tuple[Action, ...]:
+        """Process the reset of a flow that the backend server does not hold.
+
+        The reset is not sent to the caller, whose flow may be open elsewhere.
+        """
+        rejection_count = Count('packets_rejected')
+        negative_response = self._query_responder.resolve_rejected(key)
+        flow = self._flows.remove(key)
+        if negative_response is not None:
+            return (rejection_count, negative_response)
+        if flow is None or flow.entry_endpoint is None:
+            return (rejection_count,)
+        returned = PacketReturned(self._agent, packet)
+        return (rejection_count, Send(flow.entry_endpoint, returned))
 
     def _on_bounced_packet(self, packet: bytes, now: float) -> tuple[Action, ...]:
         sender = self._labels.endpoint_of(self._packet_format.read_label(packet))
--- a/packages/forwarding/src/persimmonreach/forwarding/_events.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_events.py
@@ -38,6 +38,10 @@
         Number of requests that it processes concurrently.
     cold_remaining_s
         Seconds until it is warm.
+    counts_from_start
+        Whether ``sequence`` counts all reports since the start of the backend server.
+        False if the front end began to count later, so that a low number does not show
+        that the backend server has just started.
 
     """
 
@@ -47,10 +51,14 @@
     state: AgentState
     slots: int
     cold_remaining_s: float
+    counts_from_start: bool = True
 
 
 class BackendFlowsListed(NamedTuple):
-    """Event: the backend server listed its open flows."""
+    """Event: the backend server listed its established flows.
+
+    Flows whose handshake was not complete at that time are missing in the list.
+    """
 
     keys: tuple[FlowKey, ...]
 
--- a/packages/forwarding/src/persimmonreach/forwarding/_holder_queries.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_holder_queries.py
@@ -1,20 +1,39 @@
 """Responses of an agent to entry instances that search for the holder of a flow."""
 
+from typing import NamedTuple
+
 from persimmonreach.core import Action, AgentId, Count, Endpoint, FlowKey, Send
 from persimmonreach.flows import FlowTable
 from persimmonreach.forwarding._incarnations import BackendIncarnations
 from persimmonreach.forwarding._liveness import SYN_RESPONSE_TIMEOUT_S, BackendLiveness
 from persimmonreach.forwarding._pending_queries import PendingQueries
+from persimmonreach.forwarding._unconfirmed import UnconfirmedFlows
 from persimmonreach.lookup import FlowFound, FlowNotFound, FlowsQuery, FlowsResponse
 from persimmonreach.packets import PacketFormat, PacketHeader
 
 
+class KnownFlows(NamedTuple):
+    """Flows that an agent knows.
+
+    Attributes
+    ----------
+    flows
+        Flows of the backend server, as seen from their packets.
+    unconfirmed_flows
+        Flows that the backend server may not hold.
+
+    """
+
+    flows: FlowTable
+    unconfirmed_flows: UnconfirmedFlows
+
+
 class HolderQueryResponder:
     """Responds to queries for flows that the local backend server may hold.
 
     An agent that started after its backend server may have missed flows. It
-    then delivers the queried packet: the backend server bounces it if it does
-    not hold the flow, and accepts it otherwise.
+    then delivers the queried packet: the backend server bounces or resets it if it
+    does not hold the flow, and accepts it otherwise.
 
     Parameters
     ----------
@@ -22,8 +41,8 @@
         Id of this agent.
     packet_format
         Codec of the packets of the front end.
-    flows
-        Known flows of the backend server.
+    known_flows
+        Flows of the backend server, and which of them are unconfirmed.
     incarnations
         Incarnations of the backend server.
     liveness
@@ -35,13 +54,14 @@
         self,
         agent: AgentId,
         packet_format: PacketFormat,
-        flows: FlowTable,
+        known_flows: KnownFlows,
         incarnations: BackendIncarnations,
         liveness: BackendLiveness,
     ) -> None:
         self._agent = agent
         self._packet_format = packet_format
-        self._flows = flows
+        self._flows = known_flows.flows
+        self._unconfirmed_flows = known_flows.unconfirmed_flows
         self._incarnations = incarnations
         self._liveness = liveness
         self._pending_queries = PendingQueries()
@@ -68,16 +88,15 @@
         """
         key = header.key
         flow = self._flows.find(key)
-        if flow is not None and flow.matches(header):
-            flow.entry_endpoint = sender
-            self._flows.observe_caller_packet(flow, header, now)
-            return True, (Send(sender, FlowFound(key, self._agent)),)
-        if flow is not None or self._is_absence_certain(now):
-            return False, (Send(sender, FlowNotFound(key, self._agent)),)
-        if not self._packet_format.can_bounce:
-            return False, (Count('packets_before_flows'),)
+        if key not in self._unconfirmed_flows:
+            if flow is not None and flow.matches(header):
+                flow.entry_endpoint = sender
+                self._flows.observe_caller_packet(flow, header, now)
+                return True, (Send(sender, FlowFound(key, self._agent)),)
+            if flow is not None or self._is_absence_certain(now):
+                return False, (Send(sender, FlowNotFound(key, self._agent)),)
         # Only the backend server can decide whether it holds the flow. It
-        # bounces the packet if it does not.
+        # bounces or resets the packet if it does not.
         self._pending_queries.add(key, sender, now)
         self._liveness.expect_response(SYN_RESPONSE_TIMEOUT_S, now)
         return True, (Count('packets_offered'),)
@@ -94,9 +113,10 @@
         is_absence_certain = self._is_absence_certain(now)
         for key in query.keys:
             flow = self._flows.find(key)
-            if flow is not None and flow.is_open:
+            is_unconfirmed = key in self._unconfirmed_flows
+            if flow is not None and flow.is_open and not is_unconfirmed:
                 held.append(key)
-            elif flow is not None or not is_absence_certain:
+            elif flow is not None or is_unconfirmed or not is_absence_certain:
                 indeterminate.append(key)
         response = FlowsResponse(
             query.query_id, self._agent, tuple(held), tuple(indeterminate)
@@ -111,6 +131,16 @@
         self._pending_queries.cancel(key)
         return (Send(sender, FlowFound(key, self._agent)),)
 
+    def is_pending(self, key: FlowKey) -> bool:
+        """Return whether a query waits for a sign that the flow is held or not."""
+        return key in self._pending_queries
+
+    def resolve_rejected(self, key: FlowKey) -> Send | None:
+        """Return the negative response to the query of a reset flow, if any."""
+        sender = self._pending_queries.pop(key)
+        self._pending_queries.cancel(key)
+        return None if sender is None else Send(sender, FlowNotFound(key, self._agent))
+
     def resolve_bounced(self, sender: Endpoint, key: FlowKey) -> Send | None:
         """Return the negative response to the query of a bounced packet, if any."""
         if not self._pending_queries.cancel(key):
--- a/packages/forwarding/src/persimmonreach/forwarding/_incarnations.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_incarnations.py
@@ -15,6 +15,9 @@
 # After this time the agent has seen all flows of a backend server that was running
 # before the agent.
 _MAX_FLOW_LIFETIME_S: Final = 60
+# A backend server discards a flow if the caller has not completed the handshake in this
+# time: five retransmissions of the SYN-ACK after 1, 3, 7, 15 and 31 s, and 32 s more.
+_MAX_HANDSHAKE_S: Final = 63
 
 
 class _BackendIncarnation(NamedTuple):
@@ -68,8 +71,12 @@
         )
 
     def record_flows_listed(self, now: float) -> None:
-        """Record that the backend server listed its flows, so that all are known."""
-        self._flows_complete_from = min(self._flows_complete_from, now)
+        """Record that the backend server listed its established flows.
+
+        The list lacks flows whose handshake an earlier process of the agent has seen
+        in part. All flows are known once these are open or have been discarded.
+        """
+        self._flows_complete_from = min(self._flows_complete_from, now + _MAX_HANDSHAKE_S)
 
     def record_down(self, now: float) -> None:
         """Record that the backend server is not running, so that it holds no flows."""
@@ -101,7 +108,9 @@
         self._current_incarnation = incarnation
         self._report_sequence = report.sequence
         self._cold_until = now + report.cold_remaining_s
-        is_new_backend = report.sequence <= _MAX_SEQUENCE_OF_NEW_BACKEND
+        is_new_backend = (
+            report.counts_from_start and report.sequence <= _MAX_SEQUENCE_OF_NEW_BACKEND
+        )
         if (
             is_restart
             or is_new_backend
--- a/packages/forwarding/src/persimmonreach/forwarding/_pending_queries.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_pending_queries.py
@@ -35,6 +35,10 @@
         """Earliest deadline of a pending query."""
         return self._deadlines.next_at
 
+    def __contains__(self, key: FlowKey) -> bool:
+        """Return whether a query for the flow is pending."""
+        return key in self._queries
+
     def add(self, key: FlowKey, sender: Endpoint, now: float) -> None:
         """Record that a packet of ``key`` was delivered to the backend server."""
         self._queries[key] = _PendingQuery(sender, now)
--- a/packages/packets/src/persimmonreach/packets/ipv4.py
+++ b/packages/packets/src/persimmonreach/packets/ipv4.py
@@ -16,8 +16,7 @@
 class Ipv4Packets(Ipv4TcpCodec, PacketFormat):
     """TCP segments (RFC 9293) in IPv4 packets (RFC 791).
 
-    A backend server resets unknown flows instead of bouncing their packets, so
-    such packets must not be delivered to it.
+    A backend server resets unknown flows instead of bouncing their packets.
     """
 
     @property
--- a/packages/standins/tests/test_parts.py
+++ b/packages/standins/tests/test_parts.py
@@ -141,9 +141,7 @@
         BackendTask(BackendSettings(instance), MonotonicClock())
         for instance in ('server-1', 'server-2')
     )
-    drawn = [
-        [task._rng.getrandbits(32) for _ in range(100)] for task in (first, second)
-    ]
+    drawn = [[task._rng.getrandbits(32) for _ in range(100)] for task in (first, second)]
     assert not set(drawn[0]) & set(drawn[1])
 
 
