--- a/packages/cli/src/persimmonreach/cli/_merged_status.py
+++ b/packages/cli/src/persimmonreach/cli/_merged_status.py
@@ -6,7 +6,14 @@
 from persimmonreach.control import AgentReport, AgentSummary, CallResult, StatusReply
 
 # States of an agent, by ascending precedence if entry instances differ.
-_STATES_BY_PRECEDENCE: Final = ('joining', 'down', 'active', 'draining', 'left')
+_STATES_BY_PRECEDENCE: Final = (
+    'joining',
+    'down',
+    'active',
+    'stopping',
+    'draining',
+    'left',
+)
 
 
 class MergedStatus(NamedTuple):
@@ -98,7 +105,10 @@
 
 
 def _state_sort_key(summary: AgentSummary) -> tuple[int, str]:
-    return _STATES_BY_PRECEDENCE.index(summary.state), summary.zone
+    # An entry instance of a later version may report a state that is not known here.
+    is_known = summary.state in _STATES_BY_PRECEDENCE
+    precedence = _STATES_BY_PRECEDENCE.index(summary.state) if is_known else -1
+    return precedence, summary.zone
 
 
 def _report_sort_key(report: AgentReport) -> tuple[float, AgentReport]:
--- a/packages/cli/src/persimmonreach/cli/_zones.py
+++ b/packages/cli/src/persimmonreach/cli/_zones.py
@@ -64,6 +64,12 @@
         # The override requests the same state as the write, so it is correct
         # whether or not the write took effect.
         override_report = self._set_override()
+        if override_report.code is ExitCode.STORE_UNAVAILABLE:
+            # No entry instance is in reach, and the write may have taken effect.
+            return report._replace(
+                lines=(*report.lines, *override_report.lines),
+                details={**report.details, **override_report.details},
+            )
         return override_report._replace(
             lines=(*report.lines, *override_report.lines),
             details={'unsettled': report.details, **override_report.details},
--- a/packages/cli/tests/test_entries.py
+++ b/packages/cli/tests/test_entries.py
@@ -441,6 +441,34 @@
     ]
 
 
+def test_unsettled_write_without_entry_instances_in_reach_stays_unsettled(
+    published: _CliRunner,
+) -> None:
+    """The change was in the store, but the exit code said that nothing had changed."""
+
+    def start_outage(operation: str) -> None:
+        if published.store.write_count >= 2:
+            published.start_store_outage()
+
+    published.operator_client.unreachable_ports = {11, 12}
+    published.store.set_faults(Faults(lose_writes=frozenset((2,))))
+    published.store.set_call_hook(start_outage)
+    code, result = published.run_json(
+        f'availability-zone out a {STORE_OPTIONS} {CONTROL_OPTIONS}'
+    )
+    assert (code, result['result']) == (4, 'unsettled')
+    assert result['to_version'] == 2
+
+
+@pytest.mark.parametrize('state', ['stopping', 'a-state-of-a-later-version'])
+def test_status_accepts_every_state_of_an_agent(cli: _CliRunner, state: str) -> None:
+    """The commands failed while an agent stopped and its backend server went on."""
+    member = _make_agent_summary('x-1', 'a', _make_report(4, 9), state=state)
+    cli.operator_client.set_members(member)
+    assert cli.run(f'status {CONTROL_OPTIONS}') == 0
+    assert state in cli.output
+
+
 def test_concurrent_change_is_reported_without_an_override(
     published: _CliRunner,
 ) -> None:
--- a/packages/configuration/src/persimmonreach/configuration/_source.py
+++ b/packages/configuration/src/persimmonreach/configuration/_source.py
@@ -73,4 +73,5 @@
         cold_requests=service.slow_start_floor,
         connections=service.connections,
         drain_deadline_s=service.drain_deadline_s,
+        slots=service.slots,
     )
--- a/packages/daemon/src/persimmonreach/daemon/_entry_status.py
+++ b/packages/daemon/src/persimmonreach/daemon/_entry_status.py
@@ -16,6 +16,7 @@
 )
 from persimmonreach.control.adapters import OperatorService
 from persimmonreach.core import Clock, Endpoint, ServiceName, Zone
+from persimmonreach.core.codecs import is_endpoint
 from persimmonreach.daemon._settings import EntrySettings
 from persimmonreach.discovery import AgentRecord, AgentState
 from persimmonreach.forwarding import EntryForwarder, RouteExplanation
@@ -169,10 +170,15 @@
             Endpoint(request.caller_host, request.caller_port),
             Endpoint(request.service_host, request.service_port),
         )
-        try:
-            key = pack_flow_key(flow_endpoints)
-        except ValueError as error:
-            return ExplainReply('', '', '', f'not an IPv4 flow: {error}')
+        invalid = [
+            f'{endpoint.host}:{endpoint.port}'
+            for endpoint in flow_endpoints
+            if not is_endpoint(*endpoint)
+        ]
+        if invalid:
+            problem = ', '.join(invalid)
+            return ExplainReply('', '', '', f'not an IPv4 flow: {problem}')
+        key = pack_flow_key(flow_endpoints)
         explanation = self._components.forwarder.explain(
             key, self._components.clock.now()
         )
--- a/packages/daemon/src/persimmonreach/daemon/_monitor.py
+++ b/packages/daemon/src/persimmonreach/daemon/_monitor.py
@@ -25,6 +25,8 @@
 # The HTTP endpoint does not report how long the cold state lasts; the first report
 # of another state ends it.
 _COLD_REMAINING_S: Final = 3600.0
+# The HTTP endpoint does not report slots; those of the declaration apply.
+_UNKNOWN_SLOTS: Final = 0
 _BACKEND_ID: Final = 'backend'
 _AGENT_STATES: Final = MappingProxyType(
     {
@@ -174,7 +176,7 @@
                 self._incarnation,
                 self._sequence,
                 _AGENT_STATES[state],
-                1,
+                _UNKNOWN_SLOTS,
                 cold_s,
                 # Reports are counted from the start of the agent.
                 counts_from_start=False,
--- a/packages/discovery/src/persimmonreach/discovery/_peers.py
+++ b/packages/discovery/src/persimmonreach/discovery/_peers.py
@@ -97,6 +97,8 @@
         self._watcher_message_at: dict[EntryId, float] = {}
         self._rules = RulesRefreshed(0, 0, ())
         self._is_watcher = True
+        # Peers whose latest status named other agents; one of them is asked next.
+        self._differing_peers: set[EntryId] = set()
         self._next_exchange_at: float = 0
 
     @property
@@ -138,7 +140,9 @@
             self._watcher_message_at[status.entry] = now
         if status.response_requested:
             actions.append(Send(sender, self._build_status(now)))
+        self._differing_peers.discard(status.entry)
         if status.agents_hash != self._hash_agents(now):
+            self._differing_peers.add(status.entry)
             actions.extend(
                 Send(sender, members) for members in self._build_membership(now)
             )
@@ -177,7 +181,17 @@
             return (*watch_actions, *(Send(seed, request) for seed in self._seeds))
         if self._is_watcher:
             return (*watch_actions, *self._send_status(peers, now))
-        return (*watch_actions, *self._send_status((self._random.choice(peers),), now))
+        return (*watch_actions, *self._send_status((self._choose_peer(),), now))
+
+    def _choose_peer(self) -> _Peer:
+        """Return a peer that knows other agents if there is one, or else any peer.
+
+        The chosen peer responds with its agents if they differ. Random peers alone may
+        all be gone, and an agent that only some entry instances hear is learned late.
+        """
+        differing_peers = sorted(self._differing_peers & self._peers.keys())
+        self._differing_peers.clear()
+        return self._peers[self._random.choice(differing_peers or sorted(self._peers))]
 
     def _send_status(self, peers: Sequence[_Peer], now: float) -> tuple[Action, ...]:
         status = self._build_status(now)
--- a/packages/forwarding/src/persimmonreach/forwarding/_agent.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_agent.py
@@ -86,7 +86,7 @@
         self._incarnations = BackendIncarnations(identity.started_at_ms)
         self._liveness = BackendLiveness()
         self._path = BackendPath(
-            identity.agent,
+            identity,
             packet_format,
             self._admission_controller,
             self._incarnations,
--- a/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
@@ -5,7 +5,6 @@
 
 from persimmonreach.core import (
     Action,
-    AgentId,
     Count,
     Deliver,
     Endpoint,
@@ -16,6 +15,7 @@
 from persimmonreach.flows import FlowProber, FlowTable, ProbeSettings
 from persimmonreach.forwarding._admission import FlowAdmission
 from persimmonreach.forwarding._holder_queries import HolderQueryResponder, KnownFlows
+from persimmonreach.forwarding._identity import AgentIdentity
 from persimmonreach.forwarding._incarnations import BackendIncarnations
 from persimmonreach.forwarding._labels import EntryLabels
 from persimmonreach.forwarding._liveness import (
@@ -50,8 +50,8 @@
 
     Parameters
     ----------
-    agent
-        Id of this agent.
+    identity
+        Identity of this agent.
     packet_format
         Codec of the packets of the front end.
     admission_controller
@@ -67,13 +67,14 @@
 
     def __init__(
         self,
-        agent: AgentId,
+        identity: AgentIdentity,
         packet_format: PacketFormat,
         admission_controller: AdmissionController,
         incarnations: BackendIncarnations,
         liveness: BackendLiveness,
         probing: ProbeSettings,
     ) -> None:
+        agent = identity.agent
         self._agent = agent
         self._packet_format = packet_format
         self._incarnations = incarnations
@@ -81,7 +82,7 @@
         self._flows = FlowTable(_FLOW_RETENTION_S)
         self._prober = FlowProber(probing, packet_format)
         self._next_sweep_at: float = 0
-        self._labels = EntryLabels()
+        self._labels = EntryLabels(identity.incarnation)
         self._admission = FlowAdmission(
             agent, admission_controller, self._flows, incarnations
         )
--- a/packages/forwarding/src/persimmonreach/forwarding/_caller_path.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_caller_path.py
@@ -171,7 +171,10 @@
         self, message: PacketReturned, now: float
     ) -> tuple[Action, ...]:
         """Forward a packet that an agent returned because it does not hold the flow."""
-        header = self._packet_format.read_inbound(message.packet)
+        try:
+            header = self._packet_format.read_inbound(message.packet)
+        except PacketError:
+            return (Count('packets_malformed'),)
         if self._holders.find(header.key) == message.agent:
             self._holders.remove(header.key)
         holder = self._holders.find(header.key)
@@ -212,7 +215,7 @@
             return (Count('packets_before_rules'),)
         inputs = {'version': self._routes.rules.version}
         return (
-            self._build_reset(header.key, header.acknowledgement),
+            self._build_reset(header),
             Count('packets_without_route'),
             LogDecision('flow_without_route', header.key, 'reset', inputs),
         )
@@ -259,9 +262,9 @@
                     self._holders.put(key, agent)
                 case HolderFound():
                     external.extend(self._on_holder_found(action, now))
-                case HolderNotFound(key, packet) | FlowRejected(key, packet):
+                case HolderNotFound(_, packet) | FlowRejected(_, packet):
                     header = self._packet_format.read_inbound(packet)
-                    external.append(self._build_reset(key, header.acknowledgement))
+                    external.append(self._build_reset(header))
                 case _:
                     external.append(action)
         return tuple(external)
@@ -274,5 +277,5 @@
             for action in self._forward(found.key, found.agent, packet, now)
         )
 
-    def _build_reset(self, key: FlowKey, sequence: int) -> SendToCaller:
-        return SendToCaller(self._packet_format.build_reset(key, sequence))
+    def _build_reset(self, header: PacketHeader) -> SendToCaller:
+        return SendToCaller(self._packet_format.build_reset_response(header))
--- a/packages/forwarding/src/persimmonreach/forwarding/_resets.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_resets.py
@@ -49,10 +49,12 @@
         instances can place them elsewhere.
         """
         actions: list[Action] = []
+        lost_count = 0
         for key in self._flows.keys:
             flow = self._flows.remove(key)
             if flow is None:
                 continue
+            lost_count += 1
             if flow.is_open:
                 reset = self._packet_format.build_reset(key, flow.acknowledged)
                 actions.append(SendToCaller(reset))
@@ -62,7 +64,7 @@
                         flow.entry_endpoint, key, RefusalReason.DOWN, now
                     )
                 )
-        actions.append(Count('flows_lost_with_backend', len(actions)))
+        actions.append(Count('flows_lost_with_backend', lost_count))
         return tuple(actions)
 
     def reset_unresponsive(self, action: Action) -> tuple[Action, ...]:
--- /dev/null
+++ b/packages/forwarding/tests/test_caller_resets.py
@@ -0,0 +1,59 @@
+"""Guards against resets that a caller drops, and packets that end the forwarder."""
+
+from random import Random
+
+import pytest
+
+from persimmonreach.core import Count, Endpoint, Received, SendToCaller, Tick
+from persimmonreach.discovery import AgentsDiscovered, RegisteredEntry
+from persimmonreach.forwarding import CallerPacketArrived, EntryForwarder
+from persimmonreach.forwarding._entry import EntryIdentity
+from persimmonreach.lookup import PacketReturned
+from persimmonreach.packets import ACK, RST, SYN, Ipv4TcpCodec, Segment
+from persimmonreach.packets.builder import FlowEndpoints, build_inbound, pack_flow_key
+from persimmonreach.packets.ipv4 import Ipv4Packets
+from persimmonreach.rules import Route, RulesChanged, Target, TrafficRules
+
+ENTRY = RegisteredEntry('e1', 'z', Endpoint('10.0.0.1', 7000))
+SERVICE = Endpoint('10.9.0.1', 443)
+OTHER = Endpoint('10.9.0.2', 443)
+
+
+def make_forwarder() -> EntryForwarder:
+    forwarder = EntryForwarder(EntryIdentity(ENTRY), Ipv4Packets(), Random(1))
+    route = Route('r', SERVICE, (Target('svc'),))
+    forwarder.handle(RulesChanged(TrafficRules(1, (route,)), 1), 0)
+    forwarder.handle(AgentsDiscovered(()), 0)
+    return forwarder
+
+
+def first_reset(actions: tuple[object, ...]) -> object:
+    return next(
+        Ipv4TcpCodec().read_outbound(action.packet)
+        for action in actions
+        if isinstance(action, SendToCaller)
+    )
+
+
+@pytest.mark.parametrize('destination', [SERVICE, OTHER])
+def test_reset_of_a_rejected_syn_acknowledges_it(destination: Endpoint) -> None:
+    """A caller drops a reset of its SYN without an ACK (RFC 9293, 3.10.7.3), and waits
+    until its deadline although nobody can serve it.
+    """
+    forwarder = make_forwarder()
+    forwarder.handle(Tick(), 10)
+    key = pack_flow_key(FlowEndpoints(Endpoint('10.1.0.9', 40_000), destination))
+    syn = build_inbound(key, Segment(SYN, 100))
+    actions = list(forwarder.handle(CallerPacketArrived(syn), 10))
+    while forwarder.wake_at < 12:
+        actions.extend(forwarder.handle(Tick(), forwarder.wake_at + 0.001))
+    reset = first_reset(tuple(actions))
+    assert reset.flags == RST | ACK
+    assert reset.acknowledgement == 101
+
+
+def test_malformed_returned_packet_is_counted() -> None:
+    """PacketError ended the task of the entry instance."""
+    returned = PacketReturned('a1', b'short')
+    actions = make_forwarder().handle(Received(Endpoint('10.0.0.5', 7000), returned), 1)
+    assert actions == (Count('packets_malformed'),)
--- a/packages/lookup/src/persimmonreach/lookup/_search.py
+++ b/packages/lookup/src/persimmonreach/lookup/_search.py
@@ -26,7 +26,12 @@
     HolderNotFound,
 )
 from persimmonreach.lookup._queries import KeyQueries
-from persimmonreach.lookup._state import NegativeCache, Phase, Search
+from persimmonreach.lookup._state import (
+    NegativeCache,
+    Phase,
+    Search,
+    eligible_records,
+)
 from persimmonreach.lookup.messages import (
     FlowFound,
     FlowNotFound,
@@ -175,7 +180,7 @@
     ) -> list[AgentRecord]:
         """Return the record of the agent that a directory returned, if eligible."""
         record = self._agent_table.find(agent) if agent else None
-        return [] if record is None else list(_eligible((record,), search, now))
+        return [] if record is None else list(eligible_records((record,), search, now))
 
     def _query_hinted(
         self, search: Search, records: Sequence[AgentRecord], now: float
@@ -244,7 +249,9 @@
         if search.phase < Phase.LIKELY:
             search.phase = Phase.LIKELY
             records = self._agent_table.of_service(search.service).values()
-            ranked_records = rank_agents(search.key, _eligible(records, search, now))
+            ranked_records = rank_agents(
+                search.key, eligible_records(records, search, now)
+            )
             self._deadlines.schedule(search.key, now + PACKET_QUERY_TIMEOUT_S)
             sends = self._send_packet_queries(search, ranked_records[:LIKELY_AGENT_COUNT])
             return sends or self._advance(search, now)
@@ -291,7 +298,7 @@
             search.phase = Phase.ALL
             search.rounds += 1
             self._deadlines.schedule(key, now + KEY_QUERY_TIMEOUT_S)
-            records = tuple(_eligible(self._agent_table.records, search, now))
+            records = tuple(eligible_records(self._agent_table.records, search, now))
             for record in records:
                 search.record_query(record.agent)
                 self._queries.add_to_batch(record, key)
@@ -314,6 +321,12 @@
     def _conclude(self, search: Search, now: float) -> tuple[Action, ...]:
         """End a search without a holder, or pause it if responses are missing."""
         key = search.key
+        if any(eligible_records(self._agent_table.records, search, now)):
+            # An agent that was discovered during the search may hold the flow.
+            search.phase = Phase.GATHERING
+            self._deadlines.cancel(key)
+            self._queries.enqueue(key, len(self._agent_table), now)
+            return ()
         is_incomplete = bool(search.pending) or not self._agent_table.is_loaded
         if is_incomplete and self._schedule_retry(search, now):
             return ()
@@ -331,19 +344,3 @@
             Count('searches_missing'),
             LogDecision('holder_not_found', key, 'reset', inputs),
         )
-
-
-def _eligible(
-    records: Iterable[AgentRecord], search: Search, now: float
-) -> Iterable[AgentRecord]:
-    """Return the agents that may hold the flow and have not been queried yet."""
-    return (
-        record
-        for record in records
-        if record.agent not in search.queried
-        and record.may_hold_flows(now)
-        # An agent whose backend server is down is queried once, because the server
-        # may have recovered; if the agent does not respond, the search ends without
-        # its response.
-        and not (record.is_down and record.agent in search.unresponsive)
-    )
--- a/packages/lookup/src/persimmonreach/lookup/_state.py
+++ b/packages/lookup/src/persimmonreach/lookup/_state.py
@@ -1,10 +1,12 @@
 """State of a search for the holder of a flow, and cache of negative responses."""
 
 from collections import deque
+from collections.abc import Iterable
 from enum import IntEnum
 from typing import Final, NamedTuple
 
 from persimmonreach.core import AgentId, FlowKey
+from persimmonreach.discovery import AgentRecord
 from persimmonreach.lookup._events import FindHolder
 
 # A caller has at most 16 packets in flight.
@@ -169,6 +171,22 @@
         return (*first_packets, *self.queued_packets)
 
 
+def eligible_records(
+    records: Iterable[AgentRecord], search: Search, now: float
+) -> Iterable[AgentRecord]:
+    """Return the agents that may hold the flow and have not been queried yet."""
+    return (
+        record
+        for record in records
+        if record.agent not in search.queried
+        and record.may_hold_flows(now)
+        # An agent whose backend server is down is queried once, because the server
+        # may have recovered; if the agent does not respond, the search ends without
+        # its response.
+        and not (record.is_down and record.agent in search.unresponsive)
+    )
+
+
 class _NegativeEntry(NamedTuple):
     expires_at: float
     agents: frozenset[AgentId]
--- a/packages/lookup/tests/test_search.py
+++ b/packages/lookup/tests/test_search.py
@@ -15,6 +15,7 @@
     AgentStatus,
     AgentTable,
     EntryStatus,
+    RegisteredAgent,
 )
 from persimmonreach.lookup import (
     FindHolder,
@@ -131,6 +132,27 @@
     assert not actions_of(actions, HolderNotFound)
 
 
+def test_agent_that_was_discovered_in_a_pause_is_queried() -> None:
+    """All known agents had responded negatively, and the flow was reset without a query
+    to the agent that was read from the store in the pause of the search.
+    """
+    agent_table = create_agent_table(2, is_loaded=False)
+    search = HolderSearch(agent_table)
+    for agent in sorted(queried_agents(search.handle(FIND_HOLDER, 0))):
+        respond_not_found(search, agent, 0.01)
+    holder = RegisteredAgent('a2', 'svc', 'z', Endpoint('10.0.0.1', 2))
+    agent_table.handle(AgentsDiscovered((holder,)), 0.05)
+    queried: set[str] = set()
+    ends: list[Action] = []
+    while search.wake_at < 1 and not queried:
+        actions = search.handle(Tick(), search.wake_at)
+        queried |= queried_agents(actions)
+        ends.extend(actions_of(actions, HolderNotFound))
+    assert queried == {'a2'}
+    assert not ends
+    assert actions_of(respond_found(search, 'a2', 0.5), HolderFound)
+
+
 def test_agent_that_returned_packet_is_not_queried() -> None:
     """A query to the agent that returned the packet would repeat a known response."""
     search = HolderSearch(create_agent_table(3))
--- a/packages/observability/src/persimmonreach/observability/_counters.py
+++ b/packages/observability/src/persimmonreach/observability/_counters.py
@@ -80,13 +80,19 @@
         for name, count in sorted(self._sum_counters().items()):
             metric = CounterMetric(_METRIC_PREFIX + name, name, registry=registry)
             metric.set({}, count)
-        for source in self._sources:
-            for name, value in source.gauges().items():
-                gauge = GaugeMetric(_METRIC_PREFIX + name, name, registry=registry)
-                gauge.set({}, value)
+        for name, value in sorted(self._merge_gauges().items()):
+            gauge = GaugeMetric(_METRIC_PREFIX + name, name, registry=registry)
+            gauge.set({}, value)
         content, headers = render(registry, [accept])
         return content, headers
 
+    def _merge_gauges(self) -> dict[str, float]:
+        """Return all gauges; of two with one name, that of the later source."""
+        gauges: dict[str, float] = {}
+        for source in self._sources:
+            gauges.update(source.gauges())
+        return gauges
+
     def _sum_counters(self) -> Counter[str]:
         counts = Counter(self._counts)
         for source in self._sources:
--- a/packages/observability/src/persimmonreach/observability/_logs.py
+++ b/packages/observability/src/persimmonreach/observability/_logs.py
@@ -137,13 +137,14 @@
         self._queue: deque[LogLine] = deque()
         self._line_queued = Event()
         self._dropped_lines = 0
+        self._is_reader_gone = False
         self._logger: Any = None
         os.set_blocking(descriptor, False)
         self._greenlet = gevent.spawn_later(first_render_delay_s, self._write_queued)
 
     @property
     def dropped_lines(self) -> int:
-        """Number of lines dropped because the queue was full."""
+        """Number of lines dropped because the queue was full or the reader gone."""
         return self._dropped_lines
 
     def info(self, event: str, **fields: Any) -> None:
@@ -186,14 +187,7 @@
         )
 
     def close(self) -> None:
-        """Write the remaining lines; those not written within the time limit are lost.
-
-        Raises
-        ------
-        OSError
-            If the reader has closed the pipe.
-
-        """
+        """Write the remaining lines; those not written within the time limit are lost."""
         self._greenlet.kill()
         if self._logger is None:
             self._logger = self._make_logger(import_structlog())
@@ -204,12 +198,13 @@
         now = time.time()
         if not self._rate_limiter.admit(event, now):
             return
+        if self._is_reader_gone or len(self._queue) >= MAX_QUEUED_LINES:
+            self._dropped_lines += 1
+            return
+        # Taken only for a line that is written, so that the number is not lost.
         suppressed = self._rate_limiter.take_suppressed(event)
         if suppressed:
             fields['left_out'] = suppressed
-        if len(self._queue) >= MAX_QUEUED_LINES:
-            self._dropped_lines += 1
-            return
         self._queue.append(LogLine(now, level, event, fields))
         self._line_queued.set()
 
@@ -229,7 +224,19 @@
                 timespec='milliseconds'
             )
             write = getattr(self._logger, line.level)
-            write(line.event, timestamp=timestamp, instance=self._instance, **line.fields)
+            try:
+                write(
+                    line.event,
+                    timestamp=timestamp,
+                    instance=self._instance,
+                    **line.fields,
+                )
+            except OSError:
+                # The reader has closed the pipe. The process serves without a log.
+                self._dropped_lines += len(self._queue) + 1
+                self._queue.clear()
+                self._is_reader_gone = True
+                return
 
     def _make_logger(self, structlog: Any) -> Any:
         return structlog.wrap_logger(
--- a/packages/observability/tests/test_logs.py
+++ b/packages/observability/tests/test_logs.py
@@ -126,3 +126,39 @@
     largest_step, threads = map(int, completed.stdout.split())
     assert threads == 0
     assert 0 < largest_step <= MAX_STEP_MODULES
+
+
+def test_number_of_suppressed_lines_survives_a_full_queue(
+    pipe: tuple[int, int],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The number was taken for a line that was then dropped."""
+    now = [1000.0]
+    monkeypatch.setattr('time.time', lambda: now[0])
+    monkeypatch.setattr('persimmonreach.observability._logs.MAX_QUEUED_LINES', 25)
+    log = EventLog('i-1', pipe[1], first_render_delay_s=60)
+    for _ in range(MAX_LINES_PER_S + 30):
+        log.info('busy')
+    for number in range(5):
+        log.info(f'other_{number}')
+    now[0] += 1
+    log.info('busy')
+    assert log.dropped_lines == 1
+    log._queue.popleft()
+    log.info('busy')
+    log.close()
+    assert read_lines(pipe[0])[-1]['left_out'] == 30
+
+
+def test_process_goes_on_without_a_reader() -> None:
+    """The greenlet of the log ended when the reader had closed the pipe."""
+    reader, writer = os.pipe()
+    os.close(reader)
+    log = EventLog('i-1', writer, first_render_delay_s=0)
+    log.info('first')
+    log.info('second')
+    gevent.sleep(0.2)
+    log.info('third')
+    log.close()
+    assert log.dropped_lines == 3
+    os.close(writer)
--- a/packages/observability/tests/test_metrics.py
+++ b/packages/observability/tests/test_metrics.py
@@ -73,3 +73,11 @@
     }
     for name in list_counter_names(role_metrics):
         assert name in literals | composed
+
+
+def test_two_gauges_with_one_name_do_not_fail_the_scrape() -> None:
+    counters = Counters(())
+    counters.register(ConstantMetricSource(flows=3))
+    counters.register(ConstantMetricSource(flows=5))
+    content = counters.render('text/plain')[0].decode()
+    assert re.search(r'flows 5', content)
--- a/packages/packets/src/persimmonreach/packets/_format.py
+++ b/packages/packets/src/persimmonreach/packets/_format.py
@@ -74,6 +74,10 @@
 
         """
 
+    def build_reset_response(self, header: PacketHeader) -> bytes:
+        """Return the reset toward the caller in response to its packet."""
+        return self.build_reset(header.key, header.acknowledgement)
+
     def syn_age_s(self, header: PacketHeader) -> float:
         """Return the seconds from a caller's first SYN to this copy of it.
 
--- a/packages/packets/src/persimmonreach/packets/ipv4.py
+++ b/packages/packets/src/persimmonreach/packets/ipv4.py
@@ -5,8 +5,12 @@
 
 from persimmonreach.core import Endpoint, FlowKey
 from persimmonreach.packets._format import PacketFormat
-from persimmonreach.packets._header import RST, Ipv4TcpCodec, Segment
-from persimmonreach.packets.builder import build_inbound, build_outbound
+from persimmonreach.packets._header import RST, Ipv4TcpCodec, PacketHeader, Segment
+from persimmonreach.packets.builder import (
+    build_inbound,
+    build_outbound,
+    build_reset_response,
+)
 
 # The last 6 bytes of an IPv4 flow key: address and port of the service.
 _KEY_DESTINATION: Final = slice(-6, None)
@@ -57,6 +61,14 @@
         """Return a reset toward the caller."""
         return build_outbound(key, Segment(RST, sequence))
 
+    def build_reset_response(self, header: PacketHeader) -> bytes:
+        """Return the reset toward the caller in response to its packet.
+
+        A caller accepts the reset of its SYN only if it acknowledges the SYN
+        (RFC 9293, 3.10.7.3).
+        """
+        return build_reset_response(header)
+
     def build_inbound(self, key: FlowKey, segment: Segment) -> bytes:
         """Return a packet with a segment from the caller to the service."""
         return build_inbound(key, segment)
--- a/packages/placement/src/persimmonreach/placement/_admission.py
+++ b/packages/placement/src/persimmonreach/placement/_admission.py
@@ -162,7 +162,8 @@
 
     def occupying_per_slot(self, occupancy: Occupancy) -> float:
         """Return the occupying flows per slot; 0 if the slots are not known."""
-        return occupancy.occupying / self._slots if self._slots else 0
+        slots = self._slots or self._limits.slots
+        return occupancy.occupying / slots if slots else 0
 
     def _check_limits(self, occupancy: Occupancy, now: float) -> RefusalReason | None:
         while self._admission_times and self._admission_times[0] <= now - _COLD_WINDOW_S:
--- a/packages/placement/tests/test_admission.py
+++ b/packages/placement/tests/test_admission.py
@@ -135,3 +135,20 @@
 def test_controller_is_not_busy_while_slots_are_unknown() -> None:
     """Without the number of slots the load is unknown and must not cause refusals."""
     assert make_controller().decide(LIMITS, Occupancy(occupying=50), 1) is None
+
+
+def test_declared_slots_apply_if_the_backend_server_reports_none() -> None:
+    """A backend server without reported slots counted as busy at two requests, whatever
+    was declared.
+    """
+    controller = make_controller()
+    limits = ServiceLimits('svc', slots=3)
+    assert controller.decide(limits, Occupancy(5, 5, 5), 1) is None
+    assert controller.decide(limits, Occupancy(6, 6, 6), 1) is RefusalReason.BUSY
+
+
+def test_reported_slots_go_before_declared_ones() -> None:
+    controller = make_controller()
+    controller.set_slots(1)
+    limits = ServiceLimits('svc', slots=3)
+    assert controller.decide(limits, Occupancy(2, 2, 2), 1) is RefusalReason.BUSY
--- a/packages/process/src/persimmonreach/process/_agent.py
+++ b/packages/process/src/persimmonreach/process/_agent.py
@@ -81,9 +81,12 @@
     def is_ready(self) -> bool:
         """Return whether the agent counts as ready.
 
-        The state of the backend server must be known, and neither draining nor left.
+        The state of the backend server must be known, and it must be running and not
+        draining.
         """
-        return self._forwarder.is_backend_state_known and not self._forwarder.is_draining
+        forwarder = self._forwarder
+        is_running = forwarder.is_backend_state_known and forwarder.is_backend_running
+        return is_running and not forwarder.is_draining
 
     def status(self) -> dict[str, Any]:
         """Return the status of the agent as a JSON object."""
--- a/packages/process/src/persimmonreach/process/_base.py
+++ b/packages/process/src/persimmonreach/process/_base.py
@@ -132,7 +132,12 @@
         peer_task, forwarding_task = tasks
         self._counters.register(
             CallbackMetricSource(
-                lambda: {**peer_task.counts, **forwarding_task.counts},
+                lambda: {
+                    **peer_task.counts,
+                    **forwarding_task.counts,
+                    'log_lines_dropped': self._logger.dropped_lines,
+                    'packets_dropped': forwarding_task.dropped_packet_count,
+                },
                 lambda: numeric_fields(status_source.status()),
             ),
         )
--- a/packages/rules/src/persimmonreach/rules/_model.py
+++ b/packages/rules/src/persimmonreach/rules/_model.py
@@ -59,6 +59,9 @@
     drain_deadline_s
         Seconds from the start of draining until the remaining flows of a backend
         server are reset; 0 means never.
+    slots
+        Maximum number of concurrent requests to a backend server that does not report
+        its slots; 0 if no number is declared.
 
     """
 
@@ -67,6 +70,7 @@
     cold_requests: float = 0
     connections: int = 0
     drain_deadline_s: float = 0
+    slots: int = 0
 
 
 class ZoneState(NamedTuple):
--- a/packages/runtime/src/persimmonreach/runtime/http_server.py
+++ b/packages/runtime/src/persimmonreach/runtime/http_server.py
@@ -143,6 +143,7 @@
     def __init__(self) -> None:
         self._parser: HttpRequestParser | None = None
         self._complete: list[HttpRequest] = []
+        self._is_too_large = False
         self._reset()
 
     @property
@@ -152,8 +153,8 @@
 
     @property
     def is_too_large(self) -> bool:
-        """Whether the current request exceeds ``MAX_REQUEST_BYTES``."""
-        return self._size_bytes > MAX_REQUEST_BYTES
+        """Whether a received request exceeds ``MAX_REQUEST_BYTES``."""
+        return self._is_too_large
 
     def set_parser(self, parser: HttpRequestParser) -> None:
         """Set the parser that provides the HTTP methods of the requests."""
@@ -167,18 +168,18 @@
 
     def on_url(self, part: bytes) -> None:
         """Append a part of the path and its query."""
-        self._size_bytes += len(part)
+        self._count_bytes(len(part))
         self._path += part
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Count the size of a header and store the value of ``Accept``."""
-        self._size_bytes += len(name) + len(value)
+        self._count_bytes(len(name) + len(value))
         if name.lower() == b'accept':
             self._accept = value.decode('latin-1')
 
     def on_body(self, part: bytes) -> None:
         """Append a part of the body."""
-        self._size_bytes += len(part)
+        self._count_bytes(len(part))
         if not self.is_too_large:
             self._body += part
 
@@ -196,6 +197,11 @@
         )
         self._reset()
 
+    def _count_bytes(self, size_bytes: int) -> None:
+        self._size_bytes += size_bytes
+        # The request may end in the same chunk, so the result outlives it.
+        self._is_too_large = self._is_too_large or self._size_bytes > MAX_REQUEST_BYTES
+
     def _reset(self) -> None:
         self._path = b''
         self._accept = ''
--- a/packages/standins/src/persimmonreach/standins/_caller_flow.py
+++ b/packages/standins/src/persimmonreach/standins/_caller_flow.py
@@ -179,7 +179,7 @@
         if header.key != self._plan.key or self._phase == _Phase.ENDED:
             return []
         if header.flags & RST:
-            return self._handle_reset(now)
+            return self._handle_reset(header, now)
         actions: list[Action] = []
         if self._sequences.observe(header):
             actions.append(self._send_segment(self._sequences.next_segment(ACK)))
@@ -191,9 +191,12 @@
             actions.extend(self._handle_fin())
         return actions
 
-    def _handle_reset(self, now: float) -> list[Action]:
+    def _handle_reset(self, header: PacketHeader, now: float) -> list[Action]:
         if self._phase == _Phase.OPENING:
-            return self._end_flow('refused')
+            # A reset that does not acknowledge the SYN is dropped (RFC 9293, 3.10.7.3).
+            is_acceptable = self._sequences.is_acknowledged_by(header)
+            is_refused = header.flags & ACK and is_acceptable
+            return self._end_flow('refused') if is_refused else []
         reason = 'closed' if self._phase == _Phase.CLOSING else 'reset'
         return [*self._end_request(RequestOutcome.RESET, now), *self._end_flow(reason)]
 
--- a/packages/standins/tests/test_caller_flow.py
+++ b/packages/standins/tests/test_caller_flow.py
@@ -110,3 +110,21 @@
     reset = PacketReceived(build_outbound(KEY, Segment(RST, 51)))
     expected = (RequestEnded(frame.request_id, RequestOutcome.RESET), FlowEnded('reset'))
     assert flow.handle(reset, 0.1) == expected
+
+
+@pytest.mark.parametrize(
+    ('reset', 'is_refused'),
+    [
+        (Segment(RST | ACK, 0, 1), True),
+        (Segment(RST | ACK, 0, 7), False),
+        (Segment(RST, 0), False),
+    ],
+)
+def test_reset_of_a_syn_has_to_acknowledge_it(reset: Segment, is_refused: bool) -> None:
+    """A real caller drops other resets and waits until it times out."""
+    flow = make_caller_flow()
+    syn = Ipv4TcpCodec().read_inbound(sent_packet(flow.handle(Tick(), 0)))
+    acknowledgement = reset.acknowledgement + syn.sequence if reset.flags & ACK else 0
+    packet = build_outbound(KEY, reset._replace(acknowledgement=acknowledgement))
+    ended = flow.handle(PacketReceived(packet), 0.1)
+    assert (FlowEnded('refused') in ended) is is_refused
--- a/packages/zones/src/persimmonreach/zones/_overrides.py
+++ b/packages/zones/src/persimmonreach/zones/_overrides.py
@@ -4,6 +4,7 @@
 it and replicates it to its peers until it is in the store.
 """
 
+from collections import deque
 from random import Random
 from typing import Final, NamedTuple
 
@@ -31,6 +32,8 @@
 # Afterwards one random peer per interval receives the overrides, so that they also
 # reach entry instances that start while the store is unavailable.
 GOSSIP_INTERVAL_S: Final = 2.0
+# A request is repeated within seconds, and operators send few of them.
+MAX_REQUESTED_IDS: Final = 256
 
 
 class OverrideRequested(NamedTuple):
@@ -91,6 +94,8 @@
         self._store_rules = TrafficRules()
         self._store_revision = 0
         self._overrides: tuple[ZoneState, ...] = ()
+        # Ids of the latest requests; an operator repeats one whose response was lost.
+        self._requested_ids: deque[str] = deque(maxlen=MAX_REQUESTED_IDS)
         self._peers: tuple[Endpoint, ...] = ()
         self._is_watcher = True
         self._broadcast_until: float = 0
@@ -149,6 +154,9 @@
         current_state = states_by_zone.get(event.zone)
         if current_state is None:
             return (Count('overrides_refused'),)
+        if event.override_id in self._requested_ids:
+            return (Count('overrides_repeated'),)
+        self._requested_ids.append(event.override_id)
         sequence = max(event.sequence, current_state.sequence + 1)
         state = ZoneState(event.zone, event.out, sequence, event.override_id)
         return self._apply_overrides((state,), now)
@@ -169,11 +177,10 @@
             for state in self._overrides
             if state not in previous_overrides
         )
-        return (
-            *change_logs,
-            self._build_rules_changed(),
-            *self._send_overrides(self._peers),
+        rules_changed = (
+            (self._build_rules_changed(),) if self._store_rules.version else ()
         )
+        return (*change_logs, *rules_changed, *self._send_overrides(self._peers))
 
     def _on_tick(self, now: float) -> tuple[Action, ...]:
         if now < self._next_send_at:
@@ -187,12 +194,18 @@
         self._next_send_at = now + GOSSIP_INTERVAL_S
         sampled_peers = self._random.sample(self._peers, min(1, len(self._peers)))
         sends = self._send_overrides(tuple(sampled_peers))
-        if self._is_watcher:
+        if self._is_watcher and self._store_rules.version:
             return (*sends, PersistOverrides(self._overrides))
         return sends
 
     def _select_pending(self, states: tuple[ZoneState, ...]) -> tuple[ZoneState, ...]:
-        """Return the latest of ``states`` for each zone whose stored state is older."""
+        """Return the latest of ``states`` for each zone whose stored state is older.
+
+        Before the rules are loaded, no zone is known and the states are kept as they
+        are, so that an entry instance that starts during an outage has them in time.
+        """
+        if not self._store_rules.version:
+            return _latest_states(states)
         stored_states = self._store_rules.zones
         merged_states = merge_zone_states(stored_states, states)
         return tuple(state for state in merged_states if state not in stored_states)
@@ -210,3 +223,12 @@
     def _send_overrides(self, peers: tuple[Endpoint, ...]) -> tuple[Action, ...]:
         message = ZoneOverrides(self._overrides)
         return tuple(Send(peer, message) for peer in peers)
+
+
+def _latest_states(states: tuple[ZoneState, ...]) -> tuple[ZoneState, ...]:
+    latest: dict[Zone, ZoneState] = {}
+    for state in states:
+        known = latest.get(state.zone)
+        if known is None or state.ordering_key > known.ordering_key:
+            latest[state.zone] = state
+    return tuple(latest.values())
