Keep flows of silent agents, and admit new flows on reused ports

An entry instance that started while an agent was paused had never heard it, took its flows for lost after 2 s and reset them, although a directory named the agent as their holder. A caller that opened a flow from a port whose former flow had closed within 5 s got no answer: its SYN was taken for a late copy.

Change: a search does not end with a reset while the agent that a directory returned is registered and silent. The agent compares the sequence number of a SYN with that of the closed flow.

--- a/packages/flows/src/persimmonreach/flows/_flow_record.py
+++ b/packages/flows/src/persimmonreach/flows/_flow_record.py
@@ -77,8 +77,8 @@
     initial_sequence
         Initial sequence number of the backend server, from its SYN-ACK; None if
         the SYN-ACK was not seen.
-    is_syn_seen
-        Whether the agent has seen the caller's SYN.
+    syn_sequence
+        Sequence number of the caller's SYN; None if the agent has not seen it.
     is_open
         Whether the caller has acknowledged the backend server's SYN-ACK, or the
         flow was open before the agent first saw it.
@@ -98,18 +98,17 @@
         'initial_sequence',
         'is_busy',
         'is_open',
-        'is_syn_seen',
+        'syn_sequence',
     )
 
     def __init__(
         self,
         entry_endpoint: Endpoint | None,
         now: float,
-        *,
-        is_syn_seen: bool = False,
+        syn_sequence: int | None = None,
     ) -> None:
         self.entry_endpoint = entry_endpoint
-        self.is_syn_seen = is_syn_seen
+        self.syn_sequence = syn_sequence
         self.initial_sequence: int | None = None
         self.is_open = False
         self.is_busy = False
@@ -135,6 +134,13 @@
         """
         return self.caller.acknowledged or self.backend.next_sequence
 
+    def is_replaced_by(self, syn: PacketHeader) -> bool:
+        """Whether a SYN opens a new flow with the addresses and ports of this one.
+
+        Another copy of the SYN of this flow has the same sequence number.
+        """
+        return self.is_closed and self.syn_sequence not in {None, syn.sequence}
+
     def matches(self, header: PacketHeader) -> bool:
         """Whether a packet of the caller can belong to this backend server.
 
@@ -146,7 +152,7 @@
             return True
         if self.initial_sequence is None:
             # The caller has nothing to acknowledge until it gets a SYN-ACK.
-            return not self.is_syn_seen
+            return self.syn_sequence is None
         acknowledged_bytes = (
             header.acknowledgement - self.initial_sequence
         ) % _SEQUENCE_MODULUS
--- a/packages/flows/src/persimmonreach/flows/_flow_table.py
+++ b/packages/flows/src/persimmonreach/flows/_flow_table.py
@@ -60,8 +60,7 @@
         key: FlowKey,
         entry_endpoint: Endpoint | None,
         now: float,
-        *,
-        is_syn: bool = False,
+        syn_sequence: int | None = None,
     ) -> FlowRecord:
         """Add a flow, in place of one with the same key, and return it.
 
@@ -74,14 +73,14 @@
             server sent the packet or reported the flow.
         now
             Time of the packet or report, in seconds.
-        is_syn
-            Whether the packet is the SYN of the caller.
+        syn_sequence
+            Sequence number of the packet if it is the SYN of the caller; otherwise None.
 
         """
         self.remove(key)
-        flow = FlowRecord(entry_endpoint, now, is_syn_seen=is_syn)
+        flow = FlowRecord(entry_endpoint, now, syn_sequence)
         self._flows[key] = flow
-        if is_syn:
+        if syn_sequence is not None:
             self._outstanding_requests.add_admitted(key, now)
         return flow
 
--- a/packages/flows/tests/test_flow_table.py
+++ b/packages/flows/tests/test_flow_table.py
@@ -224,7 +224,7 @@
     The caller acknowledges the faster one; the slower one must not claim the flow.
     """
     flows = FlowTable(retention_s=1000)
-    flow = flows.add(KEY, ENTRY, 0, is_syn=is_syn)
+    flow = flows.add(KEY, ENTRY, 0, 99 if is_syn else None)
     header = PACKETS.read_inbound(
         build_inbound(KEY, Segment(PSH | ACK, 1, 51, b'request'))
     )
@@ -234,7 +234,7 @@
 def test_a_request_retransmitted_after_its_response_is_ignored() -> None:
     """A retransmission that crossed the response kept the flow busy until it expired."""
     flows = FlowTable(retention_s=60)
-    flows.add(KEY, ENTRY, 0, is_syn=True)
+    flows.add(KEY, ENTRY, 0, 99)
     request = Segment(ACK | PSH, 1, 1, b'request')
     observe_from_caller(flows, request, 0.01)
     assert (flows.busy_count, flows.count_occupying(0.01)) == (1, 1)
@@ -248,7 +248,7 @@
 def test_a_reset_from_the_caller_clears_its_request() -> None:
     """Guards against an aborted request that still counts as load."""
     flows = FlowTable(retention_s=60)
-    flows.add(KEY, ENTRY, 0, is_syn=True)
+    flows.add(KEY, ENTRY, 0, 99)
     observe_from_caller(flows, Segment(ACK | PSH, 1, 1, b'request'), 0.01)
     observe_from_caller(flows, Segment(RST, 8, 1), 0.02)
     assert (flows.busy_count, flows.count_occupying(0.02)) == (0, 0)
@@ -257,6 +257,6 @@
 def test_a_new_flow_occupies_the_server_for_a_limited_time() -> None:
     """Flows whose callers had timed out before their request still counted as load."""
     flows = FlowTable(retention_s=60)
-    flows.add(KEY, ENTRY, 0, is_syn=True)
+    flows.add(KEY, ENTRY, 0, 99)
     assert flows.count_occupying(0.03) == 1
     assert flows.count_occupying(0.2) == 0
--- a/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
@@ -162,6 +162,9 @@
         if header is None:
             return (Count('packets_malformed'),)
         flow = self._flows.find(header.key)
+        if flow is not None and flow.is_replaced_by(header):
+            self._flows.remove(header.key)
+            flow = None
         if flow is not None and flow.is_open:
             # Drops a delayed retransmission of the SYN of an open flow.
             return (Count('first_packets_late'),)
@@ -169,7 +172,7 @@
             reason = self._admission.admit(message, now)
             if reason is not None:
                 return self._admission.refuse(sender, header.key, reason, now)
-            flow = self._flows.add(header.key, sender, now, is_syn=True)
+            flow = self._flows.add(header.key, sender, now, header.sequence)
         flow.entry_endpoint = sender
         self._liveness.expect_response(SYN_RESPONSE_TIMEOUT_S, now)
         return (self._build_delivery(sender, message.packet),)
--- a/packages/forwarding/tests/test_late_copies.py
+++ b/packages/forwarding/tests/test_late_copies.py
@@ -24,7 +24,7 @@
     PacketQuery,
     PacketReturned,
 )
-from persimmonreach.packets import ACK, PSH, SYN, Segment
+from persimmonreach.packets import ACK, FIN, PSH, SYN, Segment
 from persimmonreach.packets.builder import (
     FlowEndpoints,
     build_inbound,
@@ -106,3 +106,42 @@
     data_packet = build_outbound(KEY, Segment(ACK | PSH, 900_500, 101, b'answer'))
     forwarder.handle(BackendPacketArrived(data_packet), 1)
     assert held_flows(forwarder, 1.001) == (KEY,)
+
+
+def close_flow(forwarder: AgentForwarder) -> None:
+    """Open the flow of ``SYN_OFFER`` and close it from both ends."""
+    receive(forwarder, SYN_OFFER, 1)
+    forwarder.handle(SYN_ACK_PACKET, 1.001)
+    caller_fin = build_inbound(KEY, Segment(ACK | FIN, 101, 900_001))
+    receive(forwarder, RoutedPacket(caller_fin), 1.002)
+    backend_fin = build_outbound(KEY, Segment(ACK | FIN, 900_001, 102))
+    forwarder.handle(BackendPacketArrived(backend_fin), 1.003)
+
+
+def test_new_flow_on_the_port_of_a_closed_one_is_admitted() -> None:
+    """The SYN of the new flow was taken for a late copy and dropped for 5 s."""
+    forwarder = make_agent()
+    close_flow(forwarder)
+    new_syn = build_inbound(KEY, Segment(SYN, 70_000, 0))
+    actions = receive(forwarder, FlowOffer(ServiceLimits('svc'), new_syn), 1.1)
+    assert is_delivered(actions)
+
+
+def test_late_copy_of_the_syn_of_a_closed_flow_is_dropped() -> None:
+    """The backend server would open a flow that no caller uses."""
+    forwarder = make_agent()
+    close_flow(forwarder)
+    assert not is_delivered(receive(forwarder, SYN_OFFER, 1.1))
+
+
+def test_packet_of_the_earlier_flow_does_not_open_the_new_one() -> None:
+    """A late packet on a port that is in use again belongs to nobody any more."""
+    forwarder = make_agent()
+    close_flow(forwarder)
+    new_syn = build_inbound(KEY, Segment(SYN, 70_000, 0))
+    receive(forwarder, FlowOffer(ServiceLimits('svc'), new_syn), 1.1)
+    new_syn_ack = build_outbound(KEY, Segment(SYN | ACK, 3_000_000, 70_001))
+    forwarder.handle(BackendPacketArrived(new_syn_ack), 1.101)
+    late = build_inbound(KEY, Segment(ACK | PSH, 101, 900_001, b'request'))
+    assert not is_delivered(receive(forwarder, RoutedPacket(late), 1.102))
+    assert held_flows(forwarder, 1.103) == ()
--- a/packages/lookup/src/persimmonreach/lookup/_search.py
+++ b/packages/lookup/src/persimmonreach/lookup/_search.py
@@ -5,7 +5,6 @@
 
 from persimmonreach.core import (
     Action,
-    AgentId,
     Count,
     Deadlines,
     EntryId,
@@ -25,6 +24,7 @@
     HolderFound,
     HolderNotFound,
 )
+from persimmonreach.lookup._hints import is_hinted_agent_silent, resolve_hint
 from persimmonreach.lookup._queries import KeyQueries
 from persimmonreach.lookup._state import (
     NegativeCache,
@@ -153,7 +153,9 @@
         entries = directories_of(key, self._entries)
         if self._own_entry in entries:
             entries.remove(self._own_entry)
-            records = self._resolve_hint(search, self._flow_directory.find(key), now)
+            records = resolve_hint(
+                self._agent_table, search, self._flow_directory.find(key), now
+            )
             if records:
                 return self._query_hinted(search, records, now)
         search.pending_directories = len(entries)
@@ -170,18 +172,11 @@
         if search is None or search.phase is not Phase.DIRECTORIES:
             return ()
         search.pending_directories -= 1
-        records = self._resolve_hint(search, response.agent, now)
+        records = resolve_hint(self._agent_table, search, response.agent, now)
         if records:
             return self._query_hinted(search, records, now)
         return () if search.pending_directories else self._advance(search, now)
 
-    def _resolve_hint(
-        self, search: Search, agent: AgentId | None, now: float
-    ) -> list[AgentRecord]:
-        """Return the record of the agent that a directory returned, if eligible."""
-        record = self._agent_table.find(agent) if agent else None
-        return [] if record is None else list(eligible_records((record,), search, now))
-
     def _query_hinted(
         self, search: Search, records: Sequence[AgentRecord], now: float
     ) -> tuple[Action, ...]:
@@ -327,7 +322,11 @@
             self._deadlines.cancel(key)
             self._queries.enqueue(key, len(self._agent_table), now)
             return ()
-        is_incomplete = bool(search.pending) or not self._agent_table.is_loaded
+        is_incomplete = (
+            bool(search.pending)
+            or not self._agent_table.is_loaded
+            or is_hinted_agent_silent(self._agent_table, search)
+        )
         if is_incomplete and self._schedule_retry(search, now):
             return ()
         self._searches.pop(key)
--- a/packages/lookup/src/persimmonreach/lookup/_state.py
+++ b/packages/lookup/src/persimmonreach/lookup/_state.py
@@ -80,6 +80,8 @@
         Number of rounds of key queries.
     unresponsive
         Agents that did not respond in an earlier round.
+    hinted_agent
+        Agent that a directory has returned; None if none has.
 
     """
 
@@ -97,6 +99,7 @@
         self.pending_packet_queries: set[AgentId] = set()
         self.rounds = 0
         self.unresponsive: set[AgentId] = set()
+        self.hinted_agent: AgentId | None = None
         self._packet_recipients: set[AgentId] = set()
         self._indeterminate: deque[AgentId] = deque()
         if event.not_held_by is not None:
--- a/packages/lookup/tests/test_directories.py
+++ b/packages/lookup/tests/test_directories.py
@@ -14,6 +14,7 @@
     AgentStatus,
     AgentTable,
     EntryStatus,
+    RegisteredAgent,
     RegisteredEntry,
 )
 from persimmonreach.lookup import (
@@ -118,6 +119,35 @@
     assert HolderFound(KEY, 'a5', ()) in final_actions
 
 
+@pytest.mark.parametrize(('hint', 'is_reset'), [('a-silent', False), ('', True)])
+def test_flow_of_a_silent_agent_is_not_given_up(hint: str, is_reset: bool) -> None:
+    """An entry instance that started while an agent was paused had never heard it, took
+    its flows for lost after 2 s, and reset them although a directory named the agent.
+    """
+    agent_table = AgentTable(EntryStatus('e-new', 'z'))
+    for number in range(3):
+        status = AgentStatus(f'a{number}', 1, 1, 'svc', 'z', AgentState.READY)
+        agent_table.handle(Received(Endpoint('10.0.0.1', number), status), 2.9)
+    silent = RegisteredAgent('a-silent', 'svc', 'z', Endpoint('10.0.0.1', 9))
+    agent_table.handle(AgentsDiscovered((silent,)), 0)
+    agent_table.handle(Tick(), 0.6)
+    agent_table.handle(Tick(), 3)
+    assert agent_table.find('a-silent').is_unreachable
+    search = HolderSearch(agent_table, 'e-new')
+    search.handle(EntriesChanged(ENTRIES), 3)
+    search.handle(FindHolder(KEY, 'svc', PACKET), 3)
+    ends: list[Action] = []
+    for response in (HolderResponse(KEY, hint), HolderResponse(KEY, '')):
+        search.handle(Received(SENDER, response), 3)
+    for number in range(3):
+        response = Received(SENDER, FlowNotFound(KEY, f'a{number}'))
+        ends.extend(search.handle(response, 3.01))
+    while search.wake_at < 6:
+        ends.extend(search.handle(Tick(), search.wake_at))
+    is_ended = any(isinstance(action, HolderNotFound) for action in ends)
+    assert is_ended is is_reset
+
+
 def test_search_continues_after_directory_timeout(search: HolderSearch) -> None:
     start_search(search)
     assert search.wake_at <= 0.03
