Prefer agents in the zone of the caller for new flows

Cause: placement did not look at zones.

Change: LocalityPolicy prefers the less loaded of the two highest ranking agents in the zone of the entry instance, which is the caller's zone, unless it has more than one flow in excess of the choice among all agents. After a refusal the zone is no longer preferred. A search for a holder starts with agents of the zone, too.

--- a/packages/discovery/src/persimmonreach/discovery/_agent_table.py
+++ b/packages/discovery/src/persimmonreach/discovery/_agent_table.py
@@ -17,6 +17,7 @@
     ServiceName,
     StateMachine,
     Tick,
+    Zone,
 )
 from persimmonreach.discovery._events import AgentsDiscovered
 from persimmonreach.discovery._records import AgentRecord, record_from_registration
@@ -79,6 +80,11 @@
         """Records of all agents."""
         return self._records.values()
 
+    @property
+    def zone(self) -> Zone:
+        """Availability zone of this entry instance."""
+        return self._status.zone
+
     @property
     def is_loaded(self) -> bool:
         """Whether the registered agents were read at least once."""
--- a/packages/forwarding/src/persimmonreach/forwarding/_caller_path.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_caller_path.py
@@ -31,9 +31,9 @@
     FlowOffer,
     FlowPlaced,
     FlowRejected,
+    LocalityPolicy,
     PlaceFlow,
     Placement,
-    PowerOfChoicesPolicy,
     ZonesChanged,
 )
 from persimmonreach.rules import TrafficRules
@@ -88,7 +88,7 @@
     ) -> None:
         self._packet_format = packet_format
         self._agent_table = agent_table
-        self._placement = Placement(agent_table, PowerOfChoicesPolicy())
+        self._placement = Placement(agent_table, LocalityPolicy(agent_table.zone))
         self._search = HolderSearch(agent_table, own_entry)
         self._routes = RouteTable(packet_format)
         self._holders = HolderCache(_HOLDER_GENERATION_S)
--- a/packages/lookup/src/persimmonreach/lookup/_search.py
+++ b/packages/lookup/src/persimmonreach/lookup/_search.py
@@ -41,12 +41,12 @@
     HolderResponse,
     PacketQuery,
 )
-from persimmonreach.placement import rank_agents
+from persimmonreach.placement import rank_near_agents_first
 
 # Round trip between availability zones, with jitter.
 DIRECTORY_TIMEOUT_S: Final = 0.02
 # Agents that get a packet query if no directory returns the holder: placement
-# chooses among this number of agents.
+# prefers this number of agents in the availability zone of the entry instance.
 LIKELY_AGENT_COUNT: Final = 2
 # Round trip between availability zones with jitter, and the time in which a backend
 # server bounces a packet of a flow that it does not hold.
@@ -244,8 +244,9 @@
         if search.phase < Phase.LIKELY:
             search.phase = Phase.LIKELY
             records = self._agent_table.of_service(search.service).values()
-            ranked_records = rank_agents(
-                search.key, eligible_records(records, search, now)
+            candidates = eligible_records(records, search, now)
+            ranked_records = rank_near_agents_first(
+                search.key, candidates, self._agent_table.zone
             )
             self._deadlines.schedule(search.key, now + PACKET_QUERY_TIMEOUT_S)
             sends = self._send_packet_queries(search, ranked_records[:LIKELY_AGENT_COUNT])
--- a/packages/placement/src/persimmonreach/placement/__init__.py
+++ b/packages/placement/src/persimmonreach/placement/__init__.py
@@ -9,9 +9,11 @@
 )
 from persimmonreach.placement._placement import Placement
 from persimmonreach.placement._policy import (
+    LocalityPolicy,
     PlacementPolicy,
     PowerOfChoicesPolicy,
     rank_agents,
+    rank_near_agents_first,
 )
 from persimmonreach.placement.messages import (
     FlowAccepted,
@@ -27,6 +29,7 @@
     'FlowPlaced',
     'FlowRefused',
     'FlowRejected',
+    'LocalityPolicy',
     'Occupancy',
     'PlaceFlow',
     'Placement',
@@ -35,4 +38,5 @@
     'RefusalReason',
     'ZonesChanged',
     'rank_agents',
+    'rank_near_agents_first',
 )
--- a/packages/placement/src/persimmonreach/placement/_placement.py
+++ b/packages/placement/src/persimmonreach/placement/_placement.py
@@ -303,7 +303,9 @@
             if self._is_eligible(record) and record.agent not in offered_agents
         ]
         preferred_records = [record for record in records if _is_preferred(record, now)]
-        ordered_records = self._policy.order(key, preferred_records or records)
+        ordered_records = self._policy.order(
+            key, preferred_records or records, len(offered_agents)
+        )
         return ordered_records[0] if ordered_records else None
 
     def _is_eligible(self, record: AgentRecord) -> bool:
