Probe open flows only, and deliver nothing after flows were ended

Change: only flows with a complete handshake are probed. After an agent has ended its flows (zone out of service, drain deadline) it knows that no unknown flow is to be continued. The table of the probing test holds an open flow now, as its text says, and a test of its own covers the flow that is not open. None of this runs on the platform, whose packets cannot be built and whose flows stay in a zone taken out.

--- a/packages/flows/src/persimmonreach/flows/_probing.py
+++ b/packages/flows/src/persimmonreach/flows/_probing.py
@@ -77,7 +77,9 @@
         return tuple(
             action
             for key, flow in flows.items()
-            if not flow.is_closed
+            # A probe would complete the handshake of a flow that the caller has opened
+            # at another backend server.
+            if flow.is_open and not flow.is_closed
             for action in self._probe_flow(key, flow, now)
         )
 
--- a/packages/flows/tests/test_flow_table.py
+++ b/packages/flows/tests/test_flow_table.py
@@ -66,7 +66,8 @@
     if is_adopted:
         flows.adopt(KEY, 0)
     else:
-        flows.add(KEY, ENTRY, 0)
+        # Only flows whose handshake is complete are probed.
+        flows.add(KEY, ENTRY, 0).is_open = True
     return flows
 
 
@@ -89,6 +90,16 @@
         assert ended_at <= MAX_DETECTION_S
 
 
+def test_flow_without_a_complete_handshake_is_neither_probed_nor_ended() -> None:
+    """The caller may have opened it at another backend server, and a reset would reach
+    the caller there.
+    """
+    flows = FlowTable(retention_s=1000)
+    flows.add(KEY, ENTRY, 0)
+    prober = FlowProber(ProbeSettings(), Ipv4Packets())
+    assert not any(prober.probe(flows, float(second)) for second in range(100))
+
+
 class ReadOnlyIpv4Packets(Ipv4Packets):
     @property
     def can_build_segments(self) -> bool:
--- a/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
@@ -254,9 +254,12 @@
     def reset_both_ends(self, now: float) -> tuple[Action, ...]:
         """Reset all flows toward callers and backend server, and remove them.
 
-        All pending queries get a negative response.
+        All pending queries get a negative response, and no further packet of a flow
+        that the agent does not know is delivered.
         """
         responses = self._query_responder.resolve_all_missing()
+        self._incarnations.record_flows_ended(now)
+        self._unconfirmed_flows.clear()
         return (*responses, *self._resets.reset_both_ends(now))
 
     def reset_callers(self, now: float) -> tuple[Action, ...]:
--- a/packages/forwarding/src/persimmonreach/forwarding/_incarnations.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_incarnations.py
@@ -78,6 +78,13 @@
         """
         self._flows_complete_from = min(self._flows_complete_from, now + _MAX_HANDSHAKE_S)
 
+    def record_flows_ended(self, now: float) -> None:
+        """Record that the flows of the backend server were ended by the agent.
+
+        An unknown flow that the backend server still holds is not to be continued.
+        """
+        self._flows_complete_from = now
+
     def record_down(self, now: float) -> None:
         """Record that the backend server is not running, so that it holds no flows."""
         self._flows_complete_from = now
--- a/packages/forwarding/src/persimmonreach/forwarding/_unconfirmed.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_unconfirmed.py
@@ -53,6 +53,10 @@
         self._rejected_at[key] = now
         return delivered[0]
 
+    def clear(self) -> None:
+        """Remove all flows, because the agent has ended them."""
+        self._packets.clear()
+
     def was_rejected(self, key: FlowKey, now: float) -> bool:
         """Whether the backend server reset another packet of the flow a moment ago."""
         rejected_at = self._rejected_at.get(key)
