--- a/packages/proof/src/persimmonreach/proof/bench/__init__.py
+++ b/packages/proof/src/persimmonreach/proof/bench/__init__.py
@@ -1,7 +1,8 @@
 """Benchmarks of the state machines, extrapolated to the design size."""
 
 from persimmonreach.proof.bench._fit import LineFit, fit_line
-from persimmonreach.proof.bench._groups import GROUPS, Measurement, MeasurementGroup
+from persimmonreach.proof.bench._groups import GROUPS
+from persimmonreach.proof.bench._measurement import Measurement, MeasurementGroup
 
 __all__ = (
     'GROUPS',
--- a/packages/proof/src/persimmonreach/proof/bench/__main__.py
+++ b/packages/proof/src/persimmonreach/proof/bench/__main__.py
@@ -6,7 +6,8 @@
 from pathlib import Path
 from typing import Final
 
-from persimmonreach.proof.bench._groups import GROUPS, Measurement
+from persimmonreach.proof.bench._groups import GROUPS
+from persimmonreach.proof.bench._measurement import Measurement
 
 REPORT_PATH: Final = Path('build/bench.json')
 _LINE_FORMAT: Final = '{0:<34} {1:>10.4g} {2} at {3} {4}; '
--- a/packages/proof/src/persimmonreach/proof/bench/_groups.py
+++ b/packages/proof/src/persimmonreach/proof/bench/_groups.py
@@ -1,14 +1,13 @@
 """Groups of benchmark measurements."""
 
 import time
-from abc import ABC, abstractmethod
 from collections import Counter
 from collections.abc import Callable, Iterator, Sequence
 from math import inf
 from random import Random
-from typing import Final, NamedTuple, final
+from typing import Final, final
 
-from persimmonreach.core import Endpoint, Received, Send, Tick
+from persimmonreach.core import Endpoint, Received, Send, Tick, Zone
 from persimmonreach.discovery import (
     AgentsDiscovered,
     AgentState,
@@ -32,9 +31,10 @@
     PacketQuery,
     PublishRound,
 )
-from persimmonreach.placement import PowerOfChoicesPolicy
+from persimmonreach.placement import LocalityPolicy
 from persimmonreach.process import MESSAGE_TYPES
-from persimmonreach.proof.bench._fit import LineFit, fit_line
+from persimmonreach.proof.bench._control_traffic import ControlTraffic
+from persimmonreach.proof.bench._measurement import Measurement, MeasurementGroup
 from persimmonreach.runtime import PlainCodec
 
 # IPv4 and UDP headers.
@@ -52,49 +52,6 @@
 _DESIGN_FLOW_COUNT: Final = 1230
 
 
-class Measurement(NamedTuple):
-    """Amount measured at several sizes.
-
-    Attributes
-    ----------
-    name
-        Name of the measured quantity.
-    unit
-        Unit of the amounts.
-    size_name
-        What the sizes count.
-    sizes
-        Measured sizes.
-    amounts
-        Amount at each size.
-    design_size
-        Size for which the system is designed; the amount is extrapolated to it.
-
-    """
-
-    name: str
-    unit: str
-    size_name: str
-    sizes: tuple[int, ...]
-    amounts: tuple[float, ...]
-    design_size: int
-
-    @property
-    def fit(self) -> LineFit:
-        """Least-squares line through the measured points."""
-        return fit_line(self.sizes, self.amounts)
-
-
-class MeasurementGroup(ABC):
-    """Measurements that are taken together."""
-
-    name: str
-
-    @abstractmethod
-    def measure(self) -> Iterator[Measurement]:
-        """Yield the measurements of the group."""
-
-
 @final
 class LookupCost(MeasurementGroup):
     """Messages and bytes of a search, by the number of agents of the service."""
@@ -169,7 +126,7 @@
         yield Measurement('order of agents', 'us', 'agents', self._sizes, amounts, 5)
 
 
-GROUPS: Final = (LookupCost(), PublisherTime(), PlacementTime())
+GROUPS: Final = (LookupCost(), PublisherTime(), PlacementTime(), ControlTraffic())
 
 
 def _create_agent_table(agent_count: int) -> AgentTable:
@@ -293,5 +250,5 @@
 def _measure_agent_order_us(agent_count: int) -> float:
     agent_table = _create_agent_table(agent_count)
     records = agent_table.of_service(_SERVICE).values()
-    policy = PowerOfChoicesPolicy()
+    policy = LocalityPolicy(Zone('z'))
     return _measure_min_cpu_time_us(lambda: policy.order(b'key', records))
--- a/packages/proof/src/persimmonreach/proof/simulation/_network.py
+++ b/packages/proof/src/persimmonreach/proof/simulation/_network.py
@@ -52,6 +52,8 @@
         Current faults of the network.
     message_counts
         Number of messages sent between instances, by type.
+    observe_cross_zone_message
+        Called with each message that is sent to another availability zone.
 
     """
 
@@ -61,6 +63,7 @@
         self._zones: dict[str, str] = {}
         self.conditions = NetworkConditions()
         self.message_counts: Counter[str] = Counter()
+        self.observe_cross_zone_message: Callable[[Any], None] = _ignore
 
     def assign_zone(self, host: str, zone: str) -> None:
         """Set the availability zone of an instance, which determines its delays."""
@@ -75,9 +78,11 @@
         """Send a message between instances; calls ``receive`` when it arrives."""
         sender, destination = endpoints
         self.message_counts[type(message).__name__] += 1
+        is_same_zone = self._zones.get(sender.host) == self._zones.get(destination.host)
+        if not is_same_zone:
+            self.observe_cross_zone_message(message)
         if self._is_partitioned(sender.host, destination.host) or self._draw_loss():
             return
-        is_same_zone = self._zones.get(sender.host) == self._zones.get(destination.host)
         delay_s = SAME_ZONE_DELAY_S if is_same_zone else CROSS_ZONE_DELAY_S
         self._scheduler.call_later(self._add_jitter(delay_s), receive, sender, message)
 
@@ -98,3 +103,7 @@
             pair in self.conditions.partitions
             or (sender, destination) in self.conditions.one_way_partitions
         )
+
+
+def _ignore(message: Any) -> None:
+    """Ignore a message; used unless an observer is set."""
