--- /dev/null
+++ b/review/lib/agent_restart.py
@@ -0,0 +1,78 @@
+"""An agent is stopped and started in turn, shortly after its backend started.
+
+Usage: python3 agent_restart.py FOLDER. The environment variable TROUBLE=0 leaves the
+agent running.
+"""
+
+import os
+import signal
+import sys
+import time
+from pathlib import Path
+
+from deployment import Deployment, SetupError
+from late_heartbeat import (
+    BROKEN,
+    CALM_S,
+    HELD,
+    NOT_RUN,
+    SIDE_1,
+    SIDE_2,
+    WORK_MS,
+    Case,
+)
+
+# From the acknowledgement of the first heartbeat to SIGTERM.
+_STOP_AFTER_S = 0.1
+
+
+class RestartCase(Case):
+    """One run of the case."""
+
+    def run(self) -> list[str]:
+        """Release a backend, restart its agent, and judge the flows."""
+        deployment = self._deployment
+        deployment.publish(3)
+        for index in range(2):
+            deployment.start_entry(index)
+        agent = deployment.start_agent(SIDE_1)
+        deployment.start_agent(SIDE_2)
+        deployment.wait_ready()
+        former = deployment.start_backend(SIDE_2, 'i-c', workMs=WORK_MS)
+        former.wait('heartbeat', status=200)
+        time.sleep(CALM_S)
+        backend = deployment.start_backend(SIDE_1, 'i-b', workMs=WORK_MS)
+        acknowledged_at = backend.wait('heartbeat', status=200)['at']
+        self.open_flows(has_requests=False)
+        if self._has_trouble:
+            time.sleep(max(0.0, acknowledged_at + _STOP_AFTER_S - time.monotonic()))
+            stopped_at = time.monotonic()
+            agent.send_signal(signal.SIGTERM)
+            agent.wait()
+            deployment.note('the agent of i-b got SIGTERM and ended')
+            deployment.start_agent(SIDE_1)
+            self._disruptions.append((stopped_at, time.monotonic()))
+        time.sleep(CALM_S)
+        self.request_on_all('calm')
+        return self.judge_flows(backend)
+
+
+def main() -> int:
+    """Run the case and return its exit status."""
+    folder = Path(sys.argv[1])
+    has_trouble = os.environ.get('TROUBLE', '1') != '0'
+    try:
+        with Deployment() as deployment:
+            deployment.note(f'trouble: {has_trouble}; calm for {CALM_S} s')
+            verdict = RestartCase(deployment, has_trouble).run()
+            deployment.check_programs()
+            deployment.write_record(folder / 'record.txt', verdict)
+    except (SetupError, OSError) as error:
+        print(f'the case could not run: {error}')
+        (folder / 'record.txt').write_text(f'the case could not run: {error}\n')
+        return NOT_RUN
+    return BROKEN if any('broken' in line for line in verdict) else HELD
+
+
+if __name__ == '__main__':
+    sys.exit(main())
