Review case 1: an agent claims flows of others for a silent backend

An agent that was restarted asks its backend whether it holds a flow, and takes an accepted connection for the answer of a process that is silent.

--- a/review/lib/agent_restart.py
+++ b/review/lib/agent_restart.py
@@ -23,7 +23,7 @@
 )
 
 # From the acknowledgement of the first heartbeat to SIGTERM.
-_STOP_AFTER_S = 0.1
+_STOP_AFTER_S = 0.05
 
 
 class RestartCase(Case):
--- a/review/lib/backend.py
+++ b/review/lib/backend.py
@@ -89,6 +89,7 @@
                 return
 
     def _beat(self) -> None:
+        time.sleep(self._settings.get('firstHeartbeatMs', 0) / 1000)
         while True:
             self._call_heartbeat()
             time.sleep(self._settings['heartbeatMs'] / 1000)
--- a/review/lib/late_leave.py
+++ b/review/lib/late_leave.py
@@ -9,7 +9,7 @@
 import time
 from pathlib import Path
 
-from deployment import Deployment, SetupError
+from deployment import BackendProcess, Deployment, SetupError
 from late_heartbeat import (
     BROKEN,
     CALM_S,
@@ -31,7 +31,7 @@
 class LeaveCase(Case):
     """One run of the case."""
 
-    def prepare(self) -> object:
+    def prepare(self) -> BackendProcess:
         """Start all, replace a backend in place, and return the one that follows it."""
         deployment = self._deployment
         deployment.publish(3)
@@ -66,6 +66,12 @@
         time.sleep(1.0)
         return second
 
+    def wait_heartbeat(self, backend: BackendProcess) -> None:
+        """Wait for the next heartbeat, so that the call arrives well before another."""
+        count = len(backend.find('heartbeat', status=200))
+        while len(backend.find('heartbeat', status=200)) == count:
+            time.sleep(0.01)
+
 
 def main() -> int:
     """Run the case and return its exit status."""
@@ -78,6 +84,7 @@
             backend = case.prepare()
             case.open_flows()
             case.wait_calm()
+            case.wait_heartbeat(backend)
             case.request_while_delivering(_REQUEST_GAP_S)
             case.request_on_all('after')
             verdict = case.judge_flows(backend)
