--- a/review/lib/silent_backend.py
+++ b/review/lib/silent_backend.py
@@ -23,10 +23,10 @@
 )
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
-_ENTRY_COUNT, _SIDE_COUNT = 4, 3
+_ENTRY_COUNT, _SIDE_COUNT = 4, 4
 _LEAVING_ENTRIES = (0, 1)
 _SILENT = 0
-_ROLL_GAP_S = 1.0
+_ROLL_GAP_S = 2.0
 _CALM_S = BOUNDS['stabilityMs'] / 1000 + 1.5
 _SILENT_S = 4.5
 _FLOW_COUNT = 400
@@ -143,8 +143,8 @@
                     broken.append(flow)
         unanswered = sum(result != 'answered' for _, _, result in self._results)
         return [
-            f'flows open at i-2 and i-3, which live and were not disrupted: {open_count}',
-            f'of these, flows whose client got a reset that i-2 or i-3 did not send: '
+            f'flows open at the other backends, which live and were not disrupted: {open_count}',
+            f'of these, flows whose client got a reset that their backend did not send: '
             f'{len(broken)}',
             f'requests on these flows: {len(self._results)}, not answered: {unanswered}',
             'FLOW broken' if broken else 'FLOW held',
