Move the review's scripts into the folders of their cases

Each case has its own script, and its run.sh reads TROUBLE; the stand-ins that all cases use are in review/1/standins.

--- a/review/lib/silent_backend.py
+++ b/review/1/case.py
@@ -1,10 +1,5 @@
-"""A backend falls silent and is lost while front machines leave.
+"""A backend falls silent and is lost while front machines leave."""
 
-Usage: python3 silent_backend.py FOLDER. The environment variable TROUBLE=0 spares the
-backend; all planned work goes on.
-"""
-
-import os
 import signal
 import sys
 import threading
@@ -21,8 +16,8 @@
     SetupError,
     calm_since,
 )
+from flow_case import DEADLINE_S, run_all, run_case
 
-HELD, BROKEN, NOT_RUN = 0, 1, 2
 _ENTRY_COUNT, _SIDE_COUNT = 4, 4
 _LEAVING_ENTRIES = (0, 1)
 _SILENT = 0
@@ -32,10 +27,9 @@
 _FLOW_COUNT = 400
 _OPEN_AT_ONCE = 40
 _WORK_MS = 40
-_DEADLINE_S = 2.0
 
 
-class Case:
+class SilentBackendCase:
     """One run of the case."""
 
     def __init__(self, deployment: Deployment, has_trouble: bool) -> None:
@@ -79,7 +73,7 @@
             entries[index].wait()
         time.sleep(0.3)
         self._request_on_all('second')
-        time.sleep(max(0.0, silent_at + _SILENT_S - _DEADLINE_S - time.monotonic()))
+        time.sleep(max(0.0, silent_at + _SILENT_S - DEADLINE_S - time.monotonic()))
         self._request_on_all('third')
         time.sleep(max(0.0, silent_at + _SILENT_S - time.monotonic()))
         if self._has_trouble:
@@ -105,14 +99,14 @@
             for number in range(_FLOW_COUNT)
         ]
         for start in range(0, _FLOW_COUNT, _OPEN_AT_ONCE):
-            _run_all([flow.open for flow in self._flows[start : start + _OPEN_AT_ONCE]])
+            run_all([flow.open for flow in self._flows[start : start + _OPEN_AT_ONCE]])
         if not all(flow.opened_at for flow in self._flows):
             raise SetupError('a flow did not open')
 
     def _request_on_all(self, name: str) -> None:
         """Send a request on each flow that is not held by the silent backend."""
         lost = {tuple(event['key']) for event in self._backends[_SILENT].find('open')}
-        _run_all(
+        run_all(
             [
                 lambda flow=flow, number=number: self._request(flow, f'{name}-{number}')
                 for number, flow in enumerate(self._flows)
@@ -121,7 +115,7 @@
         )
 
     def _request(self, flow: Flow, request_id: str) -> None:
-        result = flow.request(request_id, _DEADLINE_S)
+        result = flow.request(request_id, DEADLINE_S)
         self._results.append((flow, request_id, result))
         self._deployment.note(f'request {request_id} on {flow.key}: {result}')
 
@@ -151,31 +145,11 @@
         ]
 
 
-def _run_all(functions: list) -> None:
-    threads = [threading.Thread(target=function) for function in functions]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
-
-
-def main() -> int:
-    """Run the case and return its exit status."""
-    threading.stack_size(256 * 1024)
-    folder = Path(sys.argv[1])
-    has_trouble = os.environ.get('TROUBLE', '1') != '0'
-    try:
-        with Deployment(_ENTRY_COUNT) as deployment:
-            deployment.note(f'trouble: {has_trouble}')
-            verdict = Case(deployment, has_trouble).run()
-            deployment.check_programs()
-            deployment.write_record(folder / 'record.txt', verdict)
-    except (SetupError, OSError) as error:
-        print(f'the case could not run: {error}')
-        (folder / 'record.txt').write_text(f'the case could not run: {error}\n')
-        return NOT_RUN
-    return BROKEN if any('broken' in line for line in verdict) else HELD
+def _make_verdict(deployment: Deployment, has_trouble: bool) -> list[str]:
+    return SilentBackendCase(deployment, has_trouble).run()
 
 
 if __name__ == '__main__':
-    sys.exit(main())
+    # Hundreds of callers, each a thread.
+    threading.stack_size(256 * 1024)
+    sys.exit(run_case(Path(__file__).resolve().parent, _make_verdict, _ENTRY_COUNT))
--- a/review/lib/deployment.py
+++ b/review/1/standins/deployment.py
@@ -19,8 +19,8 @@
 from client import ClientHost, Router
 from store import Store
 
-ROOT = Path(__file__).resolve().parents[2]
-LIB = Path(__file__).resolve().parent
+ROOT = Path(__file__).resolve().parents[3]
+STANDINS = Path(__file__).resolve().parent
 BOUNDS = {
     'seedLagS': 3, 'reuseDelayS': 2, 'stabilityMs': 4000, 'ackMs': 5000, 'catchUpS': 4,
     'drainMs': 3000, 'graceS': 6, 'lossSlackMs': 200, 'configApplyMs': 3000,
@@ -48,8 +48,8 @@
         self.events: list[dict] = []
         self._changed = threading.Condition()
         self.process = subprocess.Popen(
-            [sys.executable, '-S', str(LIB / 'backend.py'), json.dumps(settings)],
-            stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True, cwd=LIB,
+            [sys.executable, '-S', str(STANDINS / 'backend.py'), json.dumps(settings)],
+            stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True, cwd=STANDINS,
         )
         threading.Thread(target=self._read, daemon=True).start()
 
@@ -91,7 +91,6 @@
     """Owns the processes, sockets and the temporary folder of a case."""
 
     def __init__(self, entry_count: int = 2) -> None:
-        self.folder = Path(tempfile.mkdtemp(prefix='review-'))
         self.started_at = time.monotonic()
         self._lines: list[str] = []
         self._processes: list[subprocess.Popen] = []
@@ -104,6 +103,7 @@
         hosts = [*self.entry_hosts, *self.side_hosts, *self.client_hosts]
         names = ('datagramAddr', 'readinessAddr', 'control', 'outbound', 'app', 'peer')
         self.ports = dict(zip(names, _free_ports(hosts, len(names)), strict=True))
+        self.folder = Path(tempfile.mkdtemp(prefix='review-'))
         self.store = Store(f'{NETWORK}.4.1')
         self.router = Router(
             [
--- a/review/lib/agent_restart.py
+++ b/review/4/case.py
@@ -1,32 +1,18 @@
-"""An agent is stopped and started in turn, shortly after its backend started.
+"""An agent is stopped and started in turn, shortly after its backend started."""
 
-Usage: python3 agent_restart.py FOLDER. The environment variable TROUBLE=0 leaves the
-agent running.
-"""
-
-import os
 import signal
 import sys
 import time
 from pathlib import Path
 
-from deployment import Deployment, SetupError
-from late_heartbeat import (
-    BROKEN,
-    CALM_S,
-    HELD,
-    NOT_RUN,
-    SIDE_1,
-    SIDE_2,
-    WORK_MS,
-    Case,
-)
+from deployment import Deployment
+from flow_case import CALM_S, SIDE_1, SIDE_2, WORK_MS, FlowCase, run_case
 
 # From the acknowledgement of the first heartbeat to SIGTERM.
 _STOP_AFTER_S = 0.05
 
 
-class RestartCase(Case):
+class RestartCase(FlowCase):
     """One run of the case."""
 
     def run(self) -> list[str]:
@@ -57,22 +43,9 @@
         return self.judge_flows(backend)
 
 
-def main() -> int:
-    """Run the case and return its exit status."""
-    folder = Path(sys.argv[1])
-    has_trouble = os.environ.get('TROUBLE', '1') != '0'
-    try:
-        with Deployment() as deployment:
-            deployment.note(f'trouble: {has_trouble}; calm for {CALM_S} s')
-            verdict = RestartCase(deployment, has_trouble).run()
-            deployment.check_programs()
-            deployment.write_record(folder / 'record.txt', verdict)
-    except (SetupError, OSError) as error:
-        print(f'the case could not run: {error}')
-        (folder / 'record.txt').write_text(f'the case could not run: {error}\n')
-        return NOT_RUN
-    return BROKEN if any('broken' in line for line in verdict) else HELD
+def _make_verdict(deployment: Deployment, has_trouble: bool) -> list[str]:
+    return RestartCase(deployment, has_trouble).run()
 
 
 if __name__ == '__main__':
-    sys.exit(main())
+    sys.exit(run_case(Path(__file__).resolve().parent, _make_verdict))
