Claim a flow only after a packet of it from the backend server

Cause: an agent that has missed flows delivered a queried packet and took "nothing bounced, and the backend server was active since" for proof that it holds the flow. An accepted TCP connection counted as activity, and the operating system accepts connections for a process that does nothing. The agent reported the flow as held, published it, got its packets and reset its caller when the backend server was gone. A packet routed to such an agent made the same claim, and so did an unanswered probe of an idle flow.

Change: a flow is held once the backend server has sent a packet of this flow or has listed it. Until then the agent responds FlowUnconfirmed, does not publish the flow and does not reset its caller. A search ends with an unconfirmed agent if a directory names it or all others have denied the flow; while several are left, each gets the further packets, and only the holder responds to them. The simulation can pause a backend server.

--- a/packages/flows/src/persimmonreach/flows/_flow_record.py
+++ b/packages/flows/src/persimmonreach/flows/_flow_record.py
@@ -82,6 +82,9 @@
     is_open
         Whether the caller has acknowledged the backend server's SYN-ACK, or the
         flow was open before the agent first saw it.
+    is_confirmed
+        Whether the backend server has shown that it holds the flow: it has sent a
+        packet of the flow, or has listed the flow as open.
     is_busy
         Whether a request of the caller waits for its response.
     caller
@@ -97,6 +100,7 @@
         'entry_endpoint',
         'initial_sequence',
         'is_busy',
+        'is_confirmed',
         'is_open',
         'syn_sequence',
     )
@@ -111,6 +115,7 @@
         self.syn_sequence = syn_sequence
         self.initial_sequence: int | None = None
         self.is_open = False
+        self.is_confirmed = False
         self.is_busy = False
         self.caller = SenderState(now)
         self.backend = SenderState(now)
@@ -120,6 +125,15 @@
         """Time of the latest packet in either direction, in seconds."""
         return max(self.caller.last_packet_at, self.backend.last_packet_at)
 
+    @property
+    def is_held(self) -> bool:
+        """Whether the flow is open, and the backend server has shown that it holds it.
+
+        Packets of a caller do not show this. A backend server that is not running,
+        or not responding, does not reject packets of flows that it does not hold.
+        """
+        return self.is_open and self.is_confirmed
+
     @property
     def is_closed(self) -> bool:
         """Whether both sides have sent a FIN."""
--- a/packages/flows/src/persimmonreach/flows/_flow_table.py
+++ b/packages/flows/src/persimmonreach/flows/_flow_table.py
@@ -87,7 +87,9 @@
     def adopt(self, key: FlowKey, now: float) -> None:
         """Add an open flow that the backend server reported, unless it is present."""
         if key not in self._flows:
-            self.add(key, None, now).is_open = True
+            flow = self.add(key, None, now)
+            flow.is_open = True
+            flow.is_confirmed = True
 
     def remove(self, key: FlowKey) -> FlowRecord | None:
         """Remove a flow and return it; None if it is not in the table."""
@@ -124,6 +126,7 @@
         if flow.initial_sequence is None:
             # Without a SYN-ACK, the flow was open before the agent started.
             flow.is_open = True
+        flow.is_confirmed = True
         flow.backend.observe(header, now)
         self._closed_count += flow.is_closed - was_closed
         if header.payload_size or flow.is_closed:
--- a/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
@@ -117,7 +117,7 @@
         return (
             key
             for key, flow in self._flows.items()
-            if flow.is_open and not flow.is_closed and key not in self._unconfirmed_flows
+            if flow.is_held and not flow.is_closed
         )
 
     def on_routed_packet(
@@ -276,7 +276,7 @@
         The reset is not sent to the caller, whose flow may be open elsewhere.
         """
         rejection_count = Count('packets_rejected')
-        negative_response = self._query_responder.resolve_rejected(key)
+        negative_response = self._query_responder.resolve_denied(key, packet)
         flow = self._flows.remove(key)
         if negative_response is not None:
             return (rejection_count, negative_response)
@@ -295,7 +295,9 @@
         if header.is_syn:
             return (bounce_count, *self._on_bounced_syn(sender, header.key, now))
         self._flows.remove(header.key)
-        negative_response = self._query_responder.resolve_bounced(sender, header.key)
+        negative_response = self._query_responder.resolve_denied(
+            header.key, packet, sender
+        )
         return (
             bounce_count,
             negative_response or Send(sender, PacketReturned(self._agent, packet)),
--- a/packages/lookup/src/persimmonreach/lookup/__init__.py
+++ b/packages/lookup/src/persimmonreach/lookup/__init__.py
@@ -12,13 +12,14 @@
     FlowPublisher,
     PublishRound,
 )
-from persimmonreach.lookup._search import HolderSearch
+from persimmonreach.lookup._search import SEARCH_TIMEOUT_S, HolderSearch
 from persimmonreach.lookup.messages import (
     FlowFound,
     FlowNotFound,
     FlowsPublished,
     FlowsQuery,
     FlowsResponse,
+    FlowUnconfirmed,
     HolderQuery,
     HolderResponse,
     PacketQuery,
@@ -26,6 +27,7 @@
 )
 
 __all__ = (
+    'SEARCH_TIMEOUT_S',
     'DirectoryProcess',
     'EntriesChanged',
     'FindHolder',
@@ -33,6 +35,7 @@
     'FlowFound',
     'FlowNotFound',
     'FlowPublisher',
+    'FlowUnconfirmed',
     'FlowsPublished',
     'FlowsQuery',
     'FlowsResponse',
--- a/packages/lookup/src/persimmonreach/lookup/_search.py
+++ b/packages/lookup/src/persimmonreach/lookup/_search.py
@@ -5,6 +5,7 @@
 
 from persimmonreach.core import (
     Action,
+    AgentId,
     Count,
     Deadlines,
     EntryId,
@@ -37,6 +38,7 @@
     FlowNotFound,
     FlowsPublished,
     FlowsResponse,
+    FlowUnconfirmed,
     HolderQuery,
     HolderResponse,
     PacketQuery,
@@ -130,6 +132,9 @@
                     return ()
                 search.record_non_holder(agent)
                 return self._continue(search, now)
+            case FlowUnconfirmed(key, agent):
+                search = self._searches.get(key)
+                return () if search is None else self._on_unconfirmed(search, agent, now)
             case FlowsResponse():
                 return self._on_flows_response(message, now)
             case HolderResponse():
@@ -140,14 +145,36 @@
     def _on_find_holder(self, event: FindHolder, now: float) -> tuple[Action, ...]:
         search = self._searches.get(event.key)
         if search is not None:
-            search.queued_packets.append(event.packet)
-            return ()
+            return self._on_further_packet(search, event, now)
         search = Search(event, now)
         for agent in self._negative_cache.find(event.key, now):
             search.record_non_holder(agent)
         self._searches[event.key] = search
         return (Count('searches_started'), *self._query_directories(search, now))
 
+    def _on_further_packet(
+        self, search: Search, event: FindHolder, now: float
+    ) -> tuple[Action, ...]:
+        """Queue a packet of a flow that is being searched for, or offer it.
+
+        Only the backend server that holds the flow responds to the packet, so the
+        agents whose backend server may hold it get each packet of the flow.
+        """
+        if event.not_held_by is not None:
+            if event.packet != search.first_packet:
+                search.queued_packets.append(event.packet)
+            search.record_non_holder(event.not_held_by)
+            return self._continue(search, now)
+        candidates = self._unconfirmed_candidates(search, now)
+        if not candidates:
+            search.queued_packets.append(event.packet)
+            return ()
+        query = PacketQuery(event.packet)
+        max_candidates = MAX_PACKET_QUERY_BYTES // len(event.packet)
+        return tuple(
+            Send(record.endpoint, query) for record in candidates[:max_candidates]
+        )
+
     def _query_directories(self, search: Search, now: float) -> tuple[Action, ...]:
         key = search.key
         entries = directories_of(key, self._entries)
@@ -189,13 +216,27 @@
         search = self._searches.pop(found.key, None)
         if search is None:
             return (HolderFound(found.key, found.agent, ()),)
-        return (
-            HolderFound(found.key, found.agent, search.undelivered_packets(found.agent)),
-            Count('searches_found'),
-            LogDecision(
-                'holder_found', found.key, found.agent, search.decision_inputs(now)
-            ),
-        )
+        return _report_holder(search, found.agent, now)
+
+    def _on_unconfirmed(
+        self, search: Search, agent: AgentId, now: float
+    ) -> tuple[Action, ...]:
+        """Process the response of an agent whose backend server may hold the flow.
+
+        If a directory has returned the same agent, it is the holder: agents publish
+        only flows that their backend server has been seen to hold.
+        """
+        search.record_unconfirmed(agent)
+        if agent == search.hinted_agent:
+            return self._end_with_holder(search, agent, now)
+        return self._continue(search, now)
+
+    def _end_with_holder(
+        self, search: Search, agent: AgentId, now: float
+    ) -> tuple[Action, ...]:
+        self._searches.pop(search.key)
+        self._deadlines.cancel(search.key)
+        return _report_holder(search, agent, now)
 
     def _on_flows_response(
         self, response: FlowsResponse, now: float
@@ -328,6 +369,11 @@
             or not self._agent_table.is_loaded
             or is_hinted_agent_silent(self._agent_table, search)
         )
+        candidates = self._unconfirmed_candidates(search, now)
+        if len(candidates) == 1 and not is_incomplete:
+            # All other agents have denied the flow.
+            return self._end_with_holder(search, candidates[0].agent, now)
+        is_incomplete = is_incomplete or bool(candidates)
         if is_incomplete and self._schedule_retry(search, now):
             return ()
         self._searches.pop(key)
@@ -344,3 +390,20 @@
             Count('searches_missing'),
             LogDecision('holder_not_found', key, 'reset', inputs),
         )
+
+    def _unconfirmed_candidates(self, search: Search, now: float) -> list[AgentRecord]:
+        """Return the agents whose backend server may hold the flow."""
+        records = map(self._agent_table.find, sorted(search.unconfirmed))
+        return [
+            record
+            for record in records
+            if record is not None and record.may_hold_flows(now)
+        ]
+
+
+def _report_holder(search: Search, agent: AgentId, now: float) -> tuple[Action, ...]:
+    return (
+        HolderFound(search.key, agent, search.undelivered_packets(agent)),
+        Count('searches_found'),
+        LogDecision('holder_found', search.key, agent, search.decision_inputs(now)),
+    )
--- a/packages/lookup/src/persimmonreach/lookup/_state.py
+++ b/packages/lookup/src/persimmonreach/lookup/_state.py
@@ -74,6 +74,9 @@
         Queried agents that have not responded.
     non_holders
         Agents that do not hold the flow.
+    unconfirmed
+        Agents whose backend server has got a packet of the flow, and has neither
+        rejected it nor shown that it holds the flow.
     pending_packet_queries
         Agents that were sent a packet query and have not responded.
     rounds
@@ -96,6 +99,7 @@
         self.queried: set[AgentId] = set()
         self.pending: set[AgentId] = set()
         self.non_holders: set[AgentId] = set()
+        self.unconfirmed: set[AgentId] = set()
         self.pending_packet_queries: set[AgentId] = set()
         self.rounds = 0
         self.unresponsive: set[AgentId] = set()
@@ -117,6 +121,7 @@
             'asked': len(self.queried),
             'missing': len(self.non_holders),
             'unsure': len(self._indeterminate),
+            'unconfirmed': sorted(self.unconfirmed)[:_MAX_LOGGED_AGENTS],
             'rounds': self.rounds,
             'silent': sorted(self.pending)[:_MAX_LOGGED_AGENTS],
             'took_ms': round((now - self.started_at) * _MS_PER_S, 1),
@@ -137,8 +142,14 @@
         """Record that an agent does not hold the flow."""
         self.non_holders.add(agent)
         self.queried.add(agent)
-        self.pending.discard(agent)
-        self.pending_packet_queries.discard(agent)
+        self.unconfirmed.discard(agent)
+        self._discard_pending(agent)
+
+    def record_unconfirmed(self, agent: AgentId) -> None:
+        """Record that an agent has delivered a packet without a sign of the holder."""
+        if agent not in self.non_holders:
+            self.unconfirmed.add(agent)
+        self._discard_pending(agent)
 
     def reset_unresponsive(self) -> None:
         """Allow another query to the agents that have not responded.
@@ -173,6 +184,10 @@
         first_packets = () if holder in self._packet_recipients else (self.first_packet,)
         return (*first_packets, *self.queued_packets)
 
+    def _discard_pending(self, agent: AgentId) -> None:
+        self.pending.discard(agent)
+        self.pending_packet_queries.discard(agent)
+
 
 def eligible_records(
     records: Iterable[AgentRecord], search: Search, now: float
--- a/packages/lookup/src/persimmonreach/lookup/messages.py
+++ b/packages/lookup/src/persimmonreach/lookup/messages.py
@@ -10,14 +10,19 @@
     """Query that carries a packet of a flow whose holder is unknown.
 
     The holder delivers the packet and responds with ``FlowFound``; any other
-    agent responds with ``FlowNotFound``.
+    agent responds with ``FlowNotFound``. An agent that cannot tell delivers the
+    packet, responds with ``FlowUnconfirmed``, and later with ``FlowFound`` or
+    ``PacketReturned``.
     """
 
     packet: bytes
 
 
 class FlowFound(NamedTuple):
-    """Positive response to ``PacketQuery``: the agent has delivered the packet."""
+    """Positive response to ``PacketQuery``: the agent has delivered the packet.
+
+    The backend server has shown that it holds the flow.
+    """
 
     key: FlowKey
     agent: AgentId
@@ -30,6 +35,16 @@
     agent: AgentId
 
 
+class FlowUnconfirmed(NamedTuple):
+    """Indeterminate response to ``PacketQuery``: the agent has delivered the packet.
+
+    The backend server has neither rejected it nor sent a packet of the flow.
+    """
+
+    key: FlowKey
+    agent: AgentId
+
+
 class PacketReturned(NamedTuple):
     """Routed packet that an agent returns because it does not hold the flow."""
 
@@ -106,5 +121,6 @@
         36: FlowsPublished,
         37: HolderQuery,
         38: HolderResponse,
+        39: FlowUnconfirmed,
     },
 )
--- a/packages/lookup/tests/test_search.py
+++ b/packages/lookup/tests/test_search.py
@@ -22,6 +22,7 @@
     FlowFound,
     FlowNotFound,
     FlowsQuery,
+    FlowUnconfirmed,
     HolderFound,
     HolderNotFound,
     HolderSearch,
@@ -283,3 +284,55 @@
     search = HolderSearch(create_agent_table(2))
     actions = search.handle(Received(Endpoint('x', 1), response_type(KEY, 'a1')), 0)
     assert not actions_of(actions, HolderNotFound)
+
+
+def respond_unconfirmed(
+    search: HolderSearch, agent: str, now: float
+) -> tuple[Action, ...]:
+    response = FlowUnconfirmed(KEY, agent)
+    actions = search.handle(Received(Endpoint('x', 1), response), now)
+    return (*actions, *send_queued_queries(search))
+
+
+def test_unconfirmed_flow_is_routed_to_the_agent_that_all_others_leave_over() -> None:
+    """A pure ACK gets no response, so that its flow stays unconfirmed at the holder."""
+    search = HolderSearch(create_agent_table(3))
+    first, second = sorted(queried_agents(search.handle(FIND_HOLDER, 0)))
+    last = ({'a0', 'a1', 'a2'} - {first, second}).pop()
+    actions = (
+        *respond_unconfirmed(search, first, 0.02),
+        *respond_not_found(search, second, 0.021),
+    )
+    assert not actions_of(actions, HolderFound)
+    found = actions_of(respond_not_found(search, last, 0.03), HolderFound)
+    assert [action.agent for action in found] == [first]
+
+
+def test_flow_is_not_reset_while_an_agent_has_not_confirmed_it() -> None:
+    """The agent beside a silent backend server may hold the flow."""
+    search = HolderSearch(create_agent_table(2))
+    for agent in sorted(queried_agents(search.handle(FIND_HOLDER, 0))):
+        respond_unconfirmed(search, agent, 0.02)
+    while search.wake_at < SEARCH_TIMEOUT_S + 1:
+        assert not actions_of(search.handle(Tick(), search.wake_at), HolderNotFound)
+
+
+def test_further_packets_reach_all_agents_that_may_hold_the_flow() -> None:
+    """A request that follows a pure ACK waited until the search had timed out."""
+    search = HolderSearch(create_agent_table(2))
+    agents = queried_agents(search.handle(FIND_HOLDER, 0))
+    for agent in sorted(agents):
+        respond_unconfirmed(search, agent, 0.02)
+    further_packet = FIND_HOLDER._replace(packet=b'packet 2')
+    assert queried_agents(search.handle(further_packet, 0.1)) == agents
+
+
+def test_packet_that_an_unconfirmed_holder_returns_continues_the_search() -> None:
+    """The packet joined the queue of a search that waited for this agent only."""
+    search = HolderSearch(create_agent_table(2))
+    first, second = sorted(queried_agents(search.handle(FIND_HOLDER, 0)))
+    for agent in (first, second):
+        respond_unconfirmed(search, agent, 0.02)
+    returned = FIND_HOLDER._replace(not_held_by=first)
+    found = actions_of(search.handle(returned, 0.1), HolderFound)
+    assert [action.agent for action in found] == [second]
--- a/packages/proof/src/persimmonreach/proof/simulation/_backend.py
+++ b/packages/proof/src/persimmonreach/proof/simulation/_backend.py
@@ -67,6 +67,9 @@
         Executed requests of all servers.
     is_up
         Whether the server is running.
+    is_paused
+        Whether the server does nothing, while the operating system still accepts
+        connections and packets for it.
     is_draining
         Whether each flow is closed after its next response.
     flow_limit
@@ -95,7 +98,10 @@
         self.executed_requests = executed_requests
         self.send: Callable[[bytes], None] = _discard
         self.name = ''
+        self._unread_packets: list[bytes] = []
+        self._due_responses: list[tuple[EndpointPair, bytes, int]] = []
         self.is_up = False
+        self.is_paused = False
         self.is_draining = False
         self.flow_limit = 2000
         self.accept_times: list[float] = []
@@ -106,13 +112,29 @@
         self._incarnation += 1
         self.is_up = True
         self.is_draining = False
-        self._flows.clear()
+        self._end_process()
 
     def crash(self) -> None:
         """Stop the server immediately; its flows are lost and not closed."""
         self._incarnation += 1
         self.is_up = False
-        self._flows.clear()
+        self._end_process()
+
+    def pause(self) -> None:
+        """Stop processing; packets and due responses are queued."""
+        self.is_paused = True
+
+    def resume(self) -> None:
+        """Continue processing; due responses are sent before packets are read."""
+        self.is_paused = False
+        due_responses = tuple(self._due_responses)
+        self._due_responses.clear()
+        for endpoints, request, incarnation in due_responses:
+            self._complete_request(endpoints, request, incarnation)
+        unread_packets = tuple(self._unread_packets)
+        self._unread_packets.clear()
+        for packet in unread_packets:
+            self.receive(packet)
 
     def holds(self, endpoints: EndpointPair) -> bool:
         """Return whether the flow is open at this server."""
@@ -122,6 +144,9 @@
         """Process a packet of a caller."""
         if not self.is_up:
             return
+        if self.is_paused:
+            self._unread_packets.append(packet)
+            return
         segment = decode(packet)
         endpoints = (segment.source, segment.destination)
         if segment.flags & SYN:
@@ -185,6 +210,9 @@
     ) -> None:
         if incarnation != self._incarnation:
             return
+        if self.is_paused:
+            self._due_responses.append((endpoints, request, incarnation))
+            return
         self.executed_requests.append(
             ExecutedRequest(request, self.name, self._scheduler.now)
         )
@@ -204,6 +232,12 @@
                 Segment(endpoints[1], endpoints[0], FIN | ACK, initial_sequence + 1),
             )
 
+    def _end_process(self) -> None:
+        self.is_paused = False
+        self._flows.clear()
+        self._unread_packets.clear()
+        self._due_responses.clear()
+
     def _send_segment(self, endpoints: EndpointPair, segment: Segment) -> None:
         self.send(encode(segment))
 
--- a/packages/proof/src/persimmonreach/proof/simulation/_processes.py
+++ b/packages/proof/src/persimmonreach/proof/simulation/_processes.py
@@ -279,7 +279,8 @@
 
     def _report_periodically(self, backend_start: int) -> None:
         if backend_start == self._backend_start_count and self.backend.is_up:
-            self.report_backend_status()
+            if not self.backend.is_paused:
+                self.report_backend_status()
             self._scheduler.call_later(
                 REPORT_INTERVAL_S, self._report_periodically, backend_start
             )
--- a/packages/proof/tests/test_simulation.py
+++ b/packages/proof/tests/test_simulation.py
@@ -110,6 +110,46 @@
     assert {flow.state for flow in flows_of_agent} == {'reset'}
 
 
+def leave_one_after_the_other(deployment: Deployment, *names: str) -> None:
+    """Stop entry instances for good, as planned work does."""
+    for name in names:
+        process = deployment.entries[name]
+        process.handle(StopRequested())
+        deployment.run_for(1.5)
+        process.kill()
+    deployment.run_for(0.5)
+
+
+@pytest.mark.parametrize('ends_with_crash', [True, False])
+def test_silent_backend_server_breaks_no_flow_of_others(ends_with_crash: bool) -> None:
+    """Guards against an agent that claims flows of others for a silent backend server.
+
+    The agents have restarted, so none can deny a flow without its backend server. The
+    one beside the silent server took an accepted TCP connection for a sign that the
+    server had accepted the packet, and reset the callers when the server was gone.
+    """
+    deployment = Deployment(seed=11, plan=DeploymentPlan(agent_count=4))
+    deployment.start()
+    for process in deployment.agents.values():
+        deployment.restart_process(process, 0.3)
+        deployment.run_for(1)
+    flows = deployment.open_flows(2 * FLOW_COUNT, think_time_s=0.4)
+    silent = deployment.agents['a1']
+    flows_of_others = [flow for flow in flows if deployment.find_holder(flow) != silent]
+    silent.backend.pause()
+    leave_one_after_the_other(deployment, 'e1', 'e3', 'e5')
+    if ends_with_crash:
+        silent.backend.crash()
+    else:
+        silent.backend.resume()
+    deployment.run_for(3)
+    assert {flow.state for flow in flows_of_others} == {'open'}
+    unanswered = [flow for flow in flows_of_others if flow.has_pending_request]
+    assert all(
+        max(flow.responded_at.values()) > deployment.now - 1 for flow in unanswered
+    )
+
+
 def test_draining_backend_server_gets_no_new_flows(deployment: Deployment) -> None:
     """Guards against new flows that are placed on a draining server, or not at all."""
     agent = deployment.agents['a1']
