Judge reports by the start of their sender, and acknowledge after that

Cause: a report that a partition had delayed came from a predecessor that the agent had never seen. An incarnation that was new to the agent counted as the newer one, so the agent reset the flows of the running server and dropped its reports. The endpoint had acknowledged each report before the agent handled it.

Change: of two incarnations, the one that started later runs. Since a step of the clock misleads, an earlier one is accepted once a connection to the current one was refused or it has not reported for 2.5 s, without resets. Flows are reset only if the successor started after the last report of the former one. The endpoint waits until the agent has handled a report: 200 if it is in force, 409 if it is ignored, 503 after 0.9 s.

The harnesses of two tests return True from the callback that returned nothing before; their assertions are the same.

--- a/packages/discovery/src/persimmonreach/discovery/__init__.py
+++ b/packages/discovery/src/persimmonreach/discovery/__init__.py
@@ -1,7 +1,7 @@
 """Discovery of agents and entry instances: registration, membership and status."""
 
 from persimmonreach.discovery._agent_table import AgentTable
-from persimmonreach.discovery._announcer import StatusAnnouncer
+from persimmonreach.discovery._announcer import KnownEntry, StatusAnnouncer
 from persimmonreach.discovery._events import (
     AgentsDiscovered,
     EntriesDiscovered,
@@ -47,6 +47,7 @@
     'EntriesDiscovered',
     'EntryPeers',
     'EntryStatus',
+    'KnownEntry',
     'LoadChanged',
     'PeerMembership',
     'PeerStatus',
--- a/packages/forwarding/src/persimmonreach/forwarding/__init__.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/__init__.py
@@ -11,6 +11,7 @@
     BackendStatusReported,
     CallerPacketArrived,
     ProbeBackend,
+    ReportRejected,
     StopRequested,
 )
 from persimmonreach.forwarding._identity import AgentIdentity, AgentPolicy
@@ -29,6 +30,7 @@
     'EntryForwarder',
     'EntryIdentity',
     'ProbeBackend',
+    'ReportRejected',
     'RouteExplanation',
     'RoutedPacket',
     'StopRequested',
--- a/packages/forwarding/src/persimmonreach/forwarding/_agent.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_agent.py
@@ -22,6 +22,7 @@
     ZonesReported,
 )
 from persimmonreach.forwarding._backend_path import BackendPath
+from persimmonreach.forwarding._drain_deadline import DrainDeadline
 from persimmonreach.forwarding._events import (
     BackendFlowsListed,
     BackendLeft,
@@ -29,6 +30,7 @@
     BackendProbed,
     BackendStatusReported,
     ProbeBackend,
+    ReportRejected,
     StopRequested,
 )
 from persimmonreach.forwarding._identity import (
@@ -38,14 +40,9 @@
 )
 from persimmonreach.forwarding._incarnations import BackendIncarnations
 from persimmonreach.forwarding._liveness import BackendLiveness
+from persimmonreach.forwarding._publication import make_publish_round
 from persimmonreach.forwarding.messages import RoutedPacket
-from persimmonreach.lookup import (
-    DirectoryProcess,
-    FlowPublisher,
-    FlowsQuery,
-    PacketQuery,
-    PublishRound,
-)
+from persimmonreach.lookup import FlowPublisher, FlowsQuery, PacketQuery
 from persimmonreach.packets import PacketFormat
 from persimmonreach.placement import AdmissionController, FlowOffer
 
@@ -59,7 +56,8 @@
     Events: ``BackendPacketArrived``, ``BackendStatusReported``, ``BackendLeft``,
     ``BackendProbed``, ``BackendFlowsListed``, ``EntriesDiscovered``, ``Received``,
     ``StopRequested``, ``Tick``. Actions: ``Deliver``, ``SendToCaller``, ``Send``,
-    ``ProbeBackend``, ``Count``, ``LogDecision``, ``LogStateChange``.
+    ``ProbeBackend``, ``ReportRejected``, ``Count``, ``LogDecision``,
+    ``LogStateChange``.
 
     Parameters
     ----------
@@ -107,7 +105,7 @@
         )
         self._publisher = FlowPublisher(identity.agent)
         self._next_tick_at: float = 0
-        self._draining_since: float | None = None
+        self._drain_deadline = DrainDeadline()
         self._has_backend_left = False
         self._is_stopping = False
 
@@ -233,33 +231,39 @@
 
     def _enforce_drain_deadline(self, now: float) -> tuple[Action, ...]:
         """Reset all flows once the backend server exceeds its drain deadline."""
-        if not self.is_draining:
-            self._draining_since = None
-            return ()
-        self._draining_since = (
-            now if self._draining_since is None else self._draining_since
+        is_exceeded = self._drain_deadline.is_exceeded(
+            is_draining=self.is_draining,
+            limit_s=self._admission_controller.limits.drain_deadline_s,
+            now=now,
         )
-        deadline_s = self._admission_controller.limits.drain_deadline_s
-        if not deadline_s or now < self._draining_since + deadline_s:
-            return ()
-        return self._path.reset_both_ends(now)
+        return self._path.reset_both_ends(now) if is_exceeded else ()
 
     def _on_backend_status(
         self, event: BackendStatusReported, now: float
     ) -> tuple[Action, ...]:
-        is_restart, is_current = self._incarnations.observe(event, now)
-        if not is_current:
-            return (Count('reports_of_former_runs'),)
+        verdict = self._incarnations.observe(event, now)
+        if not verdict.is_newest:
+            count = Count('reports_of_former_runs')
+            return (count,) if verdict.is_accepted else (count, *self._reject(event))
         self._liveness.record_activity(now)
         self._has_backend_left = False
         actions: tuple[Action, ...] = ()
-        if is_restart:
+        if verdict.is_restart:
             actions = self._path.reset_callers(now)
         state = AgentState.STOPPING if self._is_stopping else event.state
         self._admission_controller.set_state(state, now + event.cold_remaining_s)
         self._admission_controller.set_slots(event.slots)
         return (*actions, *self._announce(event.slots, now))
 
+    def _reject(self, report: BackendStatusReported) -> tuple[Action, ...]:
+        current_backend = self._incarnations.backend
+        return (
+            ReportRejected(report.backend),
+            LogStateChange(
+                'report_rejected', report.backend, f'replaced by {current_backend}'
+            ),
+        )
+
     def _on_probe_result(self, is_up: bool | None, now: float) -> tuple[Action, ...]:
         was_down = self._liveness.is_down
         went_down = self._liveness.record_probe_result(is_up, now)
@@ -315,13 +319,7 @@
         return tuple(actions)
 
     def _publish_flows(self, now: float) -> tuple[Action, ...]:
-        entries = {
-            known_entry.entry: DirectoryProcess(
-                known_entry.endpoint, known_entry.incarnation
-            )
-            for known_entry in self._announcer.entries
-        }
-        publish_round = PublishRound(self._path.open_flows, entries)
+        publish_round = make_publish_round(self._path.open_flows, self._announcer.entries)
         return self._publisher.handle(publish_round, now)
 
     def _apply_internal(
--- a/packages/forwarding/src/persimmonreach/forwarding/_events.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_events.py
@@ -42,6 +42,9 @@
         Whether ``sequence`` counts all reports since the start of the backend server.
         False if the front end began to count later, so that a low number does not show
         that the backend server has just started.
+    age_s
+        Seconds since the start of the backend server, by the clock that gave
+        ``started_at_ms``, when the report arrived; None if they are not known.
 
     """
 
@@ -52,6 +55,13 @@
     slots: int
     cold_remaining_s: float
     counts_from_start: bool = True
+    age_s: float | None = None
+
+
+class ReportRejected(NamedTuple):
+    """Action: a status report was ignored, because its sender has been replaced."""
+
+    backend: str
 
 
 class BackendFlowsListed(NamedTuple):
--- a/packages/forwarding/src/persimmonreach/forwarding/_incarnations.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_incarnations.py
@@ -4,6 +4,7 @@
 from typing import Final, NamedTuple
 
 from persimmonreach.forwarding._events import BackendStatusReported
+from persimmonreach.forwarding._liveness import STATUS_TIMEOUT_S
 
 # A backend server whose first report to reach the agent has at most this sequence
 # number started while the agent was listening, so the agent has seen all of its flows.
@@ -25,13 +26,38 @@
     started_at_ms: int
 
 
+class ReportVerdict(NamedTuple):
+    """How a status report is to be handled.
+
+    Attributes
+    ----------
+    is_accepted
+        Whether the report is from the incarnation that is running. Other reports were
+        delayed until their sender had been replaced.
+    is_newest
+        Whether the report is accepted and newer than all others of its incarnation.
+    is_restart
+        Whether the report shows that the incarnation before has ended.
+
+    """
+
+    is_accepted: bool
+    is_newest: bool = False
+    is_restart: bool = False
+
+
+_REJECTED: Final = ReportVerdict(is_accepted=False)
+_REPEATED: Final = ReportVerdict(is_accepted=True)
+
+
 class BackendIncarnations:
     """Distinguishes incarnations of the backend server.
 
     An incarnation is identified by the id of the backend server and its start
-    time, or the number that replaces an unknown start time. The order of
-    incarnations is not derived from their start times, since the clock of the
-    backend server can step.
+    time, or the number that replaces an unknown start time. One runs at a time: of two,
+    the one that started later. A report of the other has been delayed. Start times
+    mislead after a step of the clock, so an incarnation that seems to have started
+    earlier is accepted once the current one has ended or has stopped reporting.
 
     Parameters
     ----------
@@ -43,16 +69,19 @@
 
     def __init__(self, agent_started_at_ms: int | None = None) -> None:
         self._agent_started_at_ms = agent_started_at_ms
-        self._current_incarnation: _BackendIncarnation | None = None
-        self._previous_incarnations: set[_BackendIncarnation] = set()
-        self._report_sequence = 0
+        self._current: _BackendIncarnation | None = None
+        self._has_current_ended = False
+        self._last_report_at = -inf
+        # Latest sequence number of each incarnation that has been current; infinite if
+        # the incarnation has ended.
+        self._last_sequences: dict[_BackendIncarnation, float] = {}
         self._flows_complete_from = inf
         self._cold_until = inf
 
     @property
     def backend(self) -> str:
         """Id of the backend server; empty before its first report."""
-        return self._current_incarnation.backend if self._current_incarnation else ''
+        return self._current.backend if self._current else ''
 
     @property
     def cold_until(self) -> float:
@@ -65,10 +94,7 @@
 
     def is_current(self, backend: str) -> bool:
         """Whether the current incarnation belongs to this backend server."""
-        return (
-            self._current_incarnation is not None
-            and self._current_incarnation.backend == backend
-        )
+        return self._current is not None and self._current.backend == backend
 
     def record_flows_listed(self, now: float) -> None:
         """Record that the backend server listed its established flows.
@@ -87,34 +113,64 @@
 
     def record_down(self, now: float) -> None:
         """Record that the backend server is not running, so that it holds no flows."""
+        self._has_current_ended = True
         self._flows_complete_from = now
 
-    def observe(self, report: BackendStatusReported, now: float) -> tuple[bool, bool]:
-        """Record a status report.
-
-        Returns
-        -------
-        tuple of bool
-            Whether the report is the first of an incarnation that replaced
-            another one, and whether it is the newest report of the current
-            incarnation.
-
-        """
+    def observe(self, report: BackendStatusReported, now: float) -> ReportVerdict:
+        """Record a status report and return how it is to be handled."""
         incarnation = _BackendIncarnation(report.backend, report.started_at_ms)
-        if incarnation in self._previous_incarnations:
-            return False, False
-        if incarnation == self._current_incarnation:
-            if report.sequence <= self._report_sequence:
-                return False, False
-            self._report_sequence = report.sequence
-            self._cold_until = now + report.cold_remaining_s
-            return False, True
-        is_restart = self._current_incarnation is not None
-        if self._current_incarnation is not None:
-            self._previous_incarnations.add(self._current_incarnation)
-        self._current_incarnation = incarnation
-        self._report_sequence = report.sequence
+        is_repeated = report.sequence <= self._last_sequences.get(incarnation, -inf)
+        if incarnation == self._current:
+            if is_repeated:
+                return _REPEATED
+            self._accept(incarnation, report, now)
+            return ReportVerdict(is_accepted=True, is_newest=True)
+        if is_repeated or not self._may_run_now(incarnation, now):
+            return _REJECTED
+        is_restart = self._has_ended_before(report, now)
+        if self._current is not None and is_restart:
+            self._last_sequences[self._current] = inf
+        self._accept(incarnation, report, now)
+        self._update_completeness(report, now, is_restart=is_restart)
+        return ReportVerdict(is_accepted=True, is_newest=True, is_restart=is_restart)
+
+    def _accept(
+        self, incarnation: _BackendIncarnation, report: BackendStatusReported, now: float
+    ) -> None:
+        self._current = incarnation
+        self._has_current_ended = False
+        self._last_report_at = now
+        self._last_sequences[incarnation] = report.sequence
         self._cold_until = now + report.cold_remaining_s
+
+    def _may_run_now(self, incarnation: _BackendIncarnation, now: float) -> bool:
+        """Whether an incarnation other than the current one may be the running one."""
+        if self._current is None or self._has_current_ended:
+            return True
+        if not (incarnation.started_at_ms and self._current.started_at_ms):
+            # The order is not known, so the latest report decides.
+            return True
+        if incarnation.started_at_ms >= self._current.started_at_ms:
+            return True
+        return now - self._last_report_at >= STATUS_TIMEOUT_S
+
+    def _has_ended_before(self, report: BackendStatusReported, now: float) -> bool:
+        """Whether the current incarnation has certainly ended before the sender started.
+
+        It has not if it reported since then: one of the two reports was delayed.
+        """
+        if self._current is None:
+            return False
+        if self._has_current_ended:
+            return True
+        current_started_at_ms = self._current.started_at_ms
+        if not current_started_at_ms or report.started_at_ms <= current_started_at_ms:
+            return False
+        return report.age_s is None or now - report.age_s >= self._last_report_at
+
+    def _update_completeness(
+        self, report: BackendStatusReported, now: float, *, is_restart: bool
+    ) -> None:
         is_new_backend = (
             report.counts_from_start and report.sequence <= _MAX_SEQUENCE_OF_NEW_BACKEND
         )
@@ -128,7 +184,6 @@
             self._flows_complete_from = min(
                 self._flows_complete_from, now + _MAX_FLOW_LIFETIME_S
             )
-        return is_restart, True
 
     def _was_started_with_agent(self, started_at_ms: int) -> bool:
         """Whether the backend server and the agent were started together.
--- a/packages/forwarding/src/persimmonreach/forwarding/tasks.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/tasks.py
@@ -3,9 +3,10 @@
 from abc import ABC, abstractmethod
 from collections import Counter
 from collections.abc import Callable, Mapping
-from typing import Any
+from typing import Any, Final, NamedTuple
 
 import gevent
+from gevent.event import AsyncResult
 
 from persimmonreach.core import (
     Action,
@@ -22,9 +23,13 @@
     BackendProbed,
     CallerPacketArrived,
     ProbeBackend,
+    ReportRejected,
 )
 from persimmonreach.runtime import BATCH_SIZE, PeerTransport, StateMachineTask
 
+# A backend server ignores a response to its report that takes longer than 1 s.
+REPORT_TIMEOUT_S: Final = 0.9
+
 
 class CallerLink(ABC):
     """Exchanges packets with callers."""
@@ -140,6 +145,11 @@
         return CallerPacketArrived(self._caller_link.receive())
 
 
+class _SubmittedReport(NamedTuple):
+    report: Any
+    is_accepted: AsyncResult
+
+
 class AgentTask(ForwardingTask):
     """Task that owns the flows of an agent and the link to its backend server.
 
@@ -156,10 +166,35 @@
         super().__init__(machine, *args)
         self._backend_link = backend_link
         self._resources.callback(backend_link.close)
+        self._is_report_rejected = False
+
+    def submit_report(self, report: Any) -> bool | None:
+        """Post a report of the backend server and block until it has been handled.
+
+        Returns
+        -------
+        bool or None
+            Whether the report is in force; None if it was not handled in time.
+
+        """
+        submitted = _SubmittedReport(report, AsyncResult())
+        self.post(submitted)
+        return submitted.is_accepted.wait(REPORT_TIMEOUT_S)
+
+    def receive(self, message: Any) -> None:
+        """Pass one message to the state machine and perform the actions."""
+        if not isinstance(message, _SubmittedReport):
+            super().receive(message)
+            return
+        self._is_report_rejected = False
+        super().receive(message.report)
+        message.is_accepted.set(not self._is_report_rejected)
 
     def _perform(self, action: Action) -> None:
         if isinstance(action, Deliver):
             self._backend_link.deliver(action.packet)
+        elif isinstance(action, ReportRejected):
+            self._is_report_rejected = True
         elif isinstance(action, ProbeBackend):
             self._spawn(self._probe)
         else:
--- a/packages/platform/src/persimmonreach/platform/_agent_process.py
+++ b/packages/platform/src/persimmonreach/platform/_agent_process.py
@@ -49,7 +49,7 @@
         report_endpoint = ReportEndpoint(
             self._settings.report_bind,
             self._common_settings.registration.service,
-            self._forwarding_task.post,
+            self._forwarding_task.submit_report,
             self._dispatch,
         )
         report_endpoint.start()
--- a/packages/platform/src/persimmonreach/platform/_endpoints.py
+++ b/packages/platform/src/persimmonreach/platform/_endpoints.py
@@ -1,29 +1,43 @@
 """HTTP endpoint for the reports of a backend server."""
 
+import time
 from collections.abc import Callable
 from http import HTTPMethod, HTTPStatus
+from types import MappingProxyType
 from typing import Any, Final
 
 from persimmonreach.core import Action, Count, Endpoint, LogStateChange
-from persimmonreach.forwarding import BackendLeft
+from persimmonreach.forwarding import BackendLeft, BackendStatusReported
 from persimmonreach.platform._bodies import BodyError, decode_report
 from persimmonreach.runtime.http_server import HttpRequest, HttpResponse, HttpServer
 
 _HEARTBEAT_PATH: Final = '/Instances.Heartbeat/'
 _LEAVE_PATH: Final = '/Instances.Leave/'
+_MS_PER_S: Final = 1000
+_STATUS_BY_ACCEPTANCE: Final = MappingProxyType(
+    {
+        True: HTTPStatus.OK,
+        False: HTTPStatus.CONFLICT,
+        None: HTTPStatus.SERVICE_UNAVAILABLE,
+    },
+)
 
 
 class ReportEndpoint:
     """HTTP server that receives the reports and the leave request of a backend server.
 
+    A report is acknowledged only if it is in force: its sender relies on the
+    acknowledgement of a report that it drains.
+
     Parameters
     ----------
     bind
         Address to listen on; port 0 lets the system choose one.
     service
         Service of the backend server; reports of other services are rejected.
-    post
-        Receives the decoded requests as events of the agent.
+    submit
+        Passes a decoded request to the agent as an event. Returns whether it is in force;
+        None if the agent has not handled it in time.
     sink
         Receives the counts and log lines about malformed reports.
 
@@ -33,11 +47,11 @@
         self,
         bind: Endpoint,
         service: str,
-        post: Callable[[Any], None],
+        submit: Callable[[Any], bool | None],
         sink: Callable[[Action], None],
     ) -> None:
         self._service = service
-        self._post = post
+        self._submit = submit
         self._sink = sink
         self._server = HttpServer(bind, self._respond)
 
@@ -56,14 +70,14 @@
 
     def _respond(self, request: HttpRequest) -> HttpResponse:
         try:
-            return HttpResponse(self._post_event(request))
+            return HttpResponse(self._submit_event(request))
         except BodyError as error:
             self._sink(Count('reports_malformed'))
             self._sink(LogStateChange('report_malformed', request.path, str(error)))
             return HttpResponse(HTTPStatus.BAD_REQUEST)
 
-    def _post_event(self, request: HttpRequest) -> HTTPStatus:
-        """Post the event of a request and return the status of the response.
+    def _submit_event(self, request: HttpRequest) -> HTTPStatus:
+        """Submit the event of a request and return the status of the response.
 
         Raises
         ------
@@ -75,10 +89,16 @@
         if request.method != HTTPMethod.POST:
             return HTTPStatus.NOT_FOUND
         if path.startswith(_LEAVE_PATH):
-            self._post(BackendLeft(path.removeprefix(_LEAVE_PATH)))
-            return HTTPStatus.OK
+            left = BackendLeft(path.removeprefix(_LEAVE_PATH))
+            return _STATUS_BY_ACCEPTANCE[self._submit(left)]
         if not path.startswith(_HEARTBEAT_PATH):
             return HTTPStatus.NOT_FOUND
         backend = path.removeprefix(_HEARTBEAT_PATH)
-        self._post(decode_report(backend, request.body, self._service))
-        return HTTPStatus.OK
+        report = decode_report(backend, request.body, self._service)
+        return _STATUS_BY_ACCEPTANCE[self._submit(_add_age(report, time.time()))]
+
+
+def _add_age(report: BackendStatusReported, wall_time_s: float) -> BackendStatusReported:
+    if not report.started_at_ms:
+        return report
+    return report._replace(age_s=wall_time_s - report.started_at_ms / _MS_PER_S)
--- a/packages/platform/tests/test_endpoints.py
+++ b/packages/platform/tests/test_endpoints.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import time
 from collections.abc import Iterator
 from contextlib import closing
 from typing import Any
@@ -31,14 +32,19 @@
 class Harness:
     def __init__(self) -> None:
         self.events: list[Any] = []
+        self.is_accepted: bool | None = True
         self.actions: list[Any] = []
         self.endpoint = ReportEndpoint(
             Endpoint('127.0.0.1', 0),
             'svc',
-            self.events.append,
+            self.submit,
             self.actions.append,
         )
 
+    def submit(self, event: Any) -> bool | None:
+        self.events.append(event)
+        return self.is_accepted
+
     def post(self, path: str, body: bytes) -> int:
         with closing(HTTPClient('127.0.0.1', port=self.endpoint.port)) as client:
             return client.post(path, body).status_code
@@ -76,3 +82,23 @@
 
 def test_unknown_paths_are_refused(harness: Harness) -> None:
     assert harness.post('/other', b'{}') == 404
+
+
+@pytest.mark.parametrize(('is_accepted', 'status'), [(False, 409), (None, 503)])
+@pytest.mark.parametrize('path', ['/Instances.Heartbeat/i-1', '/Instances.Leave/i-1'])
+def test_a_report_that_is_not_in_force_is_not_acknowledged(
+    harness: Harness, path: str, is_accepted: bool | None, status: int
+) -> None:
+    """Reports were acknowledged before the agent dropped them (review/3). A backend
+    server that drains ends some time after the acknowledgement.
+    """
+    harness.is_accepted = is_accepted
+    assert harness.post(path, json.dumps(BODY).encode()) == status
+
+
+def test_a_report_carries_the_age_of_its_sender(harness: Harness) -> None:
+    """The age shows whether a sender started after the latest report of another one."""
+    started_at_ms = int((time.time() - 30) * 1000)
+    body = json.dumps({**BODY, 'born': started_at_ms}).encode()
+    harness.post('/Instances.Heartbeat/i-1', body)
+    assert 29 < harness.events[0].age_s < 60
--- a/packages/platform/tests/test_odd_entries.py
+++ b/packages/platform/tests/test_odd_entries.py
@@ -225,9 +225,12 @@
 def test_heartbeats_are_received_after_odd_ones() -> None:
     events: list[Any] = []
     counts: list[Any] = []
-    endpoint = ReportEndpoint(
-        Endpoint('127.0.0.1', 0), 'svc', events.append, counts.append
-    )
+
+    def submit(event: Any) -> bool:
+        events.append(event)
+        return True
+
+    endpoint = ReportEndpoint(Endpoint('127.0.0.1', 0), 'svc', submit, counts.append)
     endpoint.start()
     client = HttpClient(Endpoint('127.0.0.1', endpoint.port), TIMEOUT_S)
     with ExitStack() as stack:
