Deny a flow only if the start of its backend server was seen

Cause: a first report with the number 1 or 2 counted as proof that the agent had been listening since the start of its backend server. After a restart of the agent the second report is the first one that arrives. That both had started within 0.5 s of each other counted as proof, too.

Change: the number of a report is not used. A packet of an unknown flow is returned only if a connection was refused since the start of the agent, or if it has had reports of two incarnations; otherwise the backend server decides. A joint start is used for queries by key only. It is no longer a guess: agents pass no new flows to a backend server younger than 0.5 s.

Ruled out: dropping the joint start altogether.

--- a/packages/daemon/src/persimmonreach/daemon/_monitor.py
+++ b/packages/daemon/src/persimmonreach/daemon/_monitor.py
@@ -178,8 +178,6 @@
                 _AGENT_STATES[state],
                 _UNKNOWN_SLOTS,
                 cold_s,
-                # Reports are counted from the start of the agent.
-                counts_from_start=False,
             ),
         )
 
--- a/packages/forwarding/src/persimmonreach/forwarding/_admission.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_admission.py
@@ -50,6 +50,7 @@
 
     def admit(self, message: FlowOffer, now: float) -> RefusalReason | None:
         """Admit and count a new flow, or return the reason for its refusal."""
+        self._admission_controller.set_admission_start(self._incarnations.admits_from)
         return self._admission_controller.decide(
             message.limits,
             self._occupancy_at(now),
--- a/packages/forwarding/src/persimmonreach/forwarding/_agent.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_agent.py
@@ -173,6 +173,7 @@
         match event:
             case BackendPacketArrived(packet):
                 self._liveness.record_activity(now)
+                self._incarnations.record_sign(now)
                 return self._path.on_backend_packet(packet, now)
             case Received(_, message):
                 return self._on_message(event, message, now)
@@ -267,6 +268,8 @@
     def _on_probe_result(self, is_up: bool | None, now: float) -> tuple[Action, ...]:
         was_down = self._liveness.is_down
         went_down = self._liveness.record_probe_result(is_up, now)
+        if is_up:
+            self._incarnations.record_sign(now)
         if went_down:
             self._incarnations.record_down(now)
             return (
--- a/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
@@ -135,7 +135,7 @@
             return (Count('packets_malformed'),)
         flow = self._flows.find(header.key)
         if flow is None:
-            if self._incarnations.are_all_flows_known(now):
+            if self._incarnations.is_start_seen(now):
                 return (Send(sender, PacketReturned(self._agent, packet)),)
             flow = self._flows.add(header.key, sender, now)
             if not self._packet_format.can_bounce:
--- a/packages/forwarding/src/persimmonreach/forwarding/_events.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_events.py
@@ -38,10 +38,6 @@
         Number of requests that it processes concurrently.
     cold_remaining_s
         Seconds until it is warm.
-    counts_from_start
-        Whether ``sequence`` counts all reports since the start of the backend server.
-        False if the front end began to count later, so that a low number does not show
-        that the backend server has just started.
     age_s
         Seconds since the start of the backend server, by the clock that gave
         ``started_at_ms``, when the report arrived; None if they are not known.
@@ -54,7 +50,6 @@
     state: AgentState
     slots: int
     cold_remaining_s: float
-    counts_from_start: bool = True
     age_s: float | None = None
 
 
--- a/packages/forwarding/src/persimmonreach/forwarding/_holder_queries.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_holder_queries.py
@@ -103,7 +103,7 @@
             if flow.is_held:
                 return True, (Send(sender, FlowFound(key, self._agent)),)
         elif key not in self._unconfirmed_flows:
-            if flow is not None or self._is_absence_certain(now):
+            if flow is not None or self._is_absence_proved(now):
                 return False, (Send(sender, FlowNotFound(key, self._agent)),)
         # Only the backend server can decide whether it holds the flow. It
         # bounces or resets the packet if it does not.
@@ -120,7 +120,9 @@
         """Respond to a query by keys: which flows are held, which indeterminate."""
         held: list[FlowKey] = []
         indeterminate: list[FlowKey] = []
-        is_absence_certain = self._is_absence_certain(now)
+        is_absence_certain = self._is_absence_proved(
+            now
+        ) or self._incarnations.are_all_flows_known(now)
         for key in query.keys:
             flow = self._flows.find(key)
             is_unconfirmed = key in self._unconfirmed_flows
@@ -185,5 +187,5 @@
             for key, sender in self._pending_queries.report_unconfirmed(now)
         )
 
-    def _is_absence_certain(self, now: float) -> bool:
-        return self._liveness.is_down or self._incarnations.are_all_flows_known(now)
+    def _is_absence_proved(self, now: float) -> bool:
+        return self._liveness.is_down or self._incarnations.is_start_seen(now)
--- a/packages/forwarding/src/persimmonreach/forwarding/_incarnations.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_incarnations.py
@@ -6,19 +6,17 @@
 from persimmonreach.forwarding._events import BackendStatusReported
 from persimmonreach.forwarding._liveness import STATUS_TIMEOUT_S
 
-# A backend server whose first report to reach the agent has at most this sequence
-# number started while the agent was listening, so the agent has seen all of its flows.
-_MAX_SEQUENCE_OF_NEW_BACKEND: Final = 2
-# If both started within this time of each other, no earlier process of the agent
-# has passed flows to the backend server: it would have had to start, serve, stop
-# and restart within this time, and a start alone takes half of it.
-_JOINT_START_WINDOW_MS: Final = 500
+# No agent passes new flows to a backend server that started more recently. A process of
+# the agent that starts within this time of the backend server has therefore seen all of
+# its flows. After a loss of power, backend servers start up to 0.3 s before their agents.
+MIN_BACKEND_AGE_S: Final = 0.5
 # After this time the agent has seen all flows of a backend server that was running
 # before the agent.
 _MAX_FLOW_LIFETIME_S: Final = 60
 # A backend server discards a flow if the caller has not completed the handshake in this
 # time: five retransmissions of the SYN-ACK after 1, 3, 7, 15 and 31 s, and 32 s more.
 _MAX_HANDSHAKE_S: Final = 63
+_MS_PER_S: Final = 1000
 
 
 class _BackendIncarnation(NamedTuple):
@@ -69,6 +67,10 @@
 
     def __init__(self, agent_started_at_ms: int | None = None) -> None:
         self._agent_started_at_ms = agent_started_at_ms
+        self._first_sign_at = inf
+        self._not_running_at = -inf
+        self._admits_from = inf if self._can_compare_clocks else -inf
+        self._is_joint_start = False
         self._current: _BackendIncarnation | None = None
         self._has_current_ended = False
         self._last_report_at = -inf
@@ -88,10 +90,38 @@
         """Time until which the backend server is cold; 0 before its first report."""
         return 0 if self._cold_until == inf else self._cold_until
 
+    @property
+    def admits_from(self) -> float:
+        """Time from which the backend server is old enough for new flows."""
+        return self._admits_from
+
+    @property
+    def _can_compare_clocks(self) -> bool:
+        return self._agent_started_at_ms is not None
+
     def are_all_flows_known(self, now: float) -> bool:
-        """Whether the agent has seen every open flow of the backend server."""
+        """Whether the agent has seen every open flow of the backend server.
+
+        This also relies on the start time that the backend server reports, and on
+        other processes of the agent. It may be wrong if a restart of the backend server
+        was not noticed, so it does not suffice to deny a flow whose packet is at hand.
+        """
+        return self._is_joint_start or self.is_start_seen(now)
+
+    def is_start_seen(self, now: float) -> bool:
+        """Whether this process has passed all packets since the backend server started.
+
+        It has if a connection was refused since this process started, if it has had
+        reports of two incarnations, or if flows from before have ended.
+        """
         return now >= self._flows_complete_from
 
+    def record_sign(self, now: float) -> None:
+        """Record a packet, report or accepted connection of the backend server."""
+        if self._can_compare_clocks and self._first_sign_at == inf:
+            self._first_sign_at = now
+            self._admits_from = now + MIN_BACKEND_AGE_S
+
     def is_current(self, backend: str) -> bool:
         """Whether the current incarnation belongs to this backend server."""
         return self._current is not None and self._current.backend == backend
@@ -115,6 +145,8 @@
         """Record that the backend server is not running, so that it holds no flows."""
         self._has_current_ended = True
         self._flows_complete_from = now
+        self._not_running_at = now
+        self._first_sign_at = inf
 
     def observe(self, report: BackendStatusReported, now: float) -> ReportVerdict:
         """Record a status report and return how it is to be handled."""
@@ -137,10 +169,13 @@
     def _accept(
         self, incarnation: _BackendIncarnation, report: BackendStatusReported, now: float
     ) -> None:
+        if incarnation != self._current:
+            self._first_sign_at = inf
         self._current = incarnation
         self._has_current_ended = False
         self._last_report_at = now
         self._last_sequences[incarnation] = report.sequence
+        self._update_admission(report, now)
         self._cold_until = now + report.cold_remaining_s
 
     def _may_run_now(self, incarnation: _BackendIncarnation, now: float) -> bool:
@@ -171,26 +206,23 @@
     def _update_completeness(
         self, report: BackendStatusReported, now: float, *, is_restart: bool
     ) -> None:
-        is_new_backend = (
-            report.counts_from_start and report.sequence <= _MAX_SEQUENCE_OF_NEW_BACKEND
-        )
-        if (
-            is_restart
-            or is_new_backend
-            or self._was_started_with_agent(report.started_at_ms)
-        ):
+        if is_restart:
             self._flows_complete_from = now
         else:
             self._flows_complete_from = min(
                 self._flows_complete_from, now + _MAX_FLOW_LIFETIME_S
             )
-
-    def _was_started_with_agent(self, started_at_ms: int) -> bool:
-        """Whether the backend server and the agent were started together.
-
-        The number of reports does not show this, because it includes reports
-        that were sent before the agent was listening.
-        """
         if self._agent_started_at_ms is None:
-            return False
-        return abs(started_at_ms - self._agent_started_at_ms) <= _JOINT_START_WINDOW_MS
+            return
+        start_difference_ms = abs(report.started_at_ms - self._agent_started_at_ms)
+        self._is_joint_start = start_difference_ms <= MIN_BACKEND_AGE_S * _MS_PER_S
+
+    def _update_admission(self, report: BackendStatusReported, now: float) -> None:
+        """Admit flows as soon as the reported age is sufficient."""
+        self.record_sign(now)
+        if report.age_s is None:
+            return
+        # A step of the clock makes the backend server look older than it can be.
+        age_s = min(report.age_s, now - self._not_running_at)
+        wait_s = max(0, MIN_BACKEND_AGE_S - age_s)
+        self._admits_from = min(self._admits_from, now + wait_s)
--- a/packages/forwarding/tests/test_half_open_flows.py
+++ b/packages/forwarding/tests/test_half_open_flows.py
@@ -63,9 +63,7 @@
     policy = AgentPolicy(ends_flows_on_zone_out=True)
     forwarder = AgentForwarder(identity, Ipv4Packets(), Random(1), policy)
     forwarder.handle(BackendFlowsListed(()), LISTED_AT)
-    report = BackendStatusReported(
-        'b1', 1, 1, AgentState.READY, 1, 0, counts_from_start=False
-    )
+    report = BackendStatusReported('b1', 1, 1, AgentState.READY, 1, 0)
     forwarder.handle(report, LISTED_AT)
     return forwarder
 
@@ -145,9 +143,7 @@
     """
     forwarder = make_successor()
     receive(forwarder, PacketQuery(REQUEST), LISTED_AT + 1)
-    report = BackendStatusReported(
-        'b1', 1, 2, AgentState.READY, 1, 0, counts_from_start=False
-    )
+    report = BackendStatusReported('b1', 1, 2, AgentState.READY, 1, 0)
     forwarder.handle(report, LISTED_AT + 1.01)
     actions = forwarder.handle(Tick(), LISTED_AT + 1.02)
     assert messages_of(actions, FlowUnconfirmed)
--- a/packages/placement/src/persimmonreach/placement/_admission.py
+++ b/packages/placement/src/persimmonreach/placement/_admission.py
@@ -67,6 +67,7 @@
         self._zone = zone
         self._state = AgentState.STARTING
         self._cold_until = inf
+        self._admits_from = -inf
         self._slots = 0
         self._is_zone_out = False
         self._limits = ServiceLimits(service)
@@ -101,6 +102,10 @@
         self._state = state
         self._cold_until = cold_until
 
+    def set_admission_start(self, admits_from: float) -> None:
+        """Set the time from which the backend server gets new flows."""
+        self._admits_from = admits_from
+
     def set_slots(self, slots: int) -> None:
         """Set the number of requests that the backend server processes at once.
 
@@ -171,6 +176,8 @@
         limits = self._limits
         if limits.connections and occupancy.flows >= limits.connections:
             return RefusalReason.FULL
+        if now < self._admits_from:
+            return RefusalReason.COLD
         if self.is_cold(now) and self._is_cold_limit_reached(occupancy):
             return RefusalReason.COLD
         return None
--- a/packages/proof/src/persimmonreach/proof/simulation/_processes.py
+++ b/packages/proof/src/persimmonreach/proof/simulation/_processes.py
@@ -40,6 +40,8 @@
 REPORT_INTERVAL_S: Final = 0.77
 # Delay between an agent and its backend server.
 _LOCAL_DELAY_S: Final = 0.0001
+# Unix time at which virtual time is 0, in milliseconds.
+_EPOCH_MS: Final = 1_700_000_000_000
 # Makes virtual time advance when a state machine is due again immediately.
 _MIN_WAKE_UP_DELAY_S: Final = 0.0005
 
@@ -241,6 +243,7 @@
         self.cold_until: float = 0
         self._report_sequence = 0
         self._backend_start_count = 0
+        self._backend_started_at: float = 0
         self._network.assign_zone(registration.endpoint.host, registration.zone)
         backend.send = self._receive_backend_packet
 
@@ -253,6 +256,7 @@
         """Start the backend server, cold for ``cold_s``, and its periodic reports."""
         self._backend_start_count += 1
         self._report_sequence = 0
+        self._backend_started_at = self._scheduler.now
         agent = self.registration.agent
         self.backend.start(f'{agent}-run-{self._backend_start_count}')
         self.cold_until = self._scheduler.now + cold_s
@@ -268,12 +272,12 @@
         self.handle(
             BackendStatusReported(
                 backend_name,
-                # Number of the start, in place of its wall-clock time.
-                self._backend_start_count,
+                _to_unix_ms(self._backend_started_at),
                 self._report_sequence,
                 state,
                 3,
                 cold_s,
+                self._scheduler.now - self._backend_started_at,
             ),
         )
 
@@ -292,6 +296,7 @@
             registration.service,
             registration.zone,
             self._incarnation,
+            started_at_ms=_to_unix_ms(self._scheduler.now),
         )
         return AgentForwarder(identity, PlatformPackets(), self._create_random())
 
@@ -308,3 +313,7 @@
     def _receive_backend_packet(self, packet: bytes) -> None:
         event = BackendPacketArrived(packet)
         self._scheduler.call_later(_LOCAL_DELAY_S, self.handle, event)
+
+
+def _to_unix_ms(virtual_time_s: float) -> int:
+    return _EPOCH_MS + round(virtual_time_s * 1000)
--- a/packages/proof/tests/test_simulation.py
+++ b/packages/proof/tests/test_simulation.py
@@ -110,6 +110,23 @@
     assert {flow.state for flow in flows_of_agent} == {'reset'}
 
 
+@pytest.mark.parametrize('stopped_after_s', [0.05, 0.4, 0.55, 0.75])
+def test_flows_survive_restart_of_an_agent_soon_after_its_backend_server_started(
+    deployment: Deployment, stopped_after_s: float
+) -> None:
+    """Guards against a low number of reports that counts as proof of all flows.
+
+    The second report is the first one that reaches the new process of the agent.
+    """
+    agent = deployment.add_agent('a')
+    deployment.run_for(stopped_after_s)
+    flows = deployment.open_flows(FLOW_COUNT, think_time_s=3)
+    deployment.restart_process(agent, 0.1)
+    deployment.run_for(7)
+    assert not deployment.find_wrongly_reset(flows)
+    assert {flow.state for flow in flows} == {'open'}
+
+
 def leave_one_after_the_other(deployment: Deployment, *names: str) -> None:
     """Stop entry instances for good, as planned work does."""
     for name in names:
