Keep the flows that a restarted backend server opened before its report

Cause: the first report of a new incarnation counted as the moment of the restart, so that all flows known to the agent belonged to the former one.

Change: an agent records when its backend server was first seen to hold a flow. A restart resets the flows from before the start of the new process, which follows from its age. If the former process reported later, or if the clock was set between both reports, no flow is reset and the backend server bounces the packets of flows that it does not hold.

--- a/packages/flows/src/persimmonreach/flows/_flow_record.py
+++ b/packages/flows/src/persimmonreach/flows/_flow_record.py
@@ -1,5 +1,7 @@
 """State that an agent keeps for one flow of its backend server."""
 
+from math import inf
+
 from persimmonreach.core import Endpoint
 from persimmonreach.packets import ACK, FIN, PacketHeader
 
@@ -82,9 +84,9 @@
     is_open
         Whether the caller has acknowledged the backend server's SYN-ACK, or the
         flow was open before the agent first saw it.
-    is_confirmed
-        Whether the backend server has shown that it holds the flow: it has sent a
-        packet of the flow, or has listed the flow as open.
+    confirmed_at
+        Time at which the backend server has shown that it holds the flow: it has sent the
+        first packet of the flow, or has listed the flow as open. Infinite before.
     is_busy
         Whether a request of the caller waits for its response.
     caller
@@ -97,10 +99,10 @@
     __slots__ = (
         'backend',
         'caller',
+        'confirmed_at',
         'entry_endpoint',
         'initial_sequence',
         'is_busy',
-        'is_confirmed',
         'is_open',
         'syn_sequence',
     )
@@ -114,8 +116,8 @@
         self.entry_endpoint = entry_endpoint
         self.syn_sequence = syn_sequence
         self.initial_sequence: int | None = None
+        self.confirmed_at = inf
         self.is_open = False
-        self.is_confirmed = False
         self.is_busy = False
         self.caller = SenderState(now)
         self.backend = SenderState(now)
@@ -125,6 +127,11 @@
         """Time of the latest packet in either direction, in seconds."""
         return max(self.caller.last_packet_at, self.backend.last_packet_at)
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the backend server has shown that it holds the flow."""
+        return self.confirmed_at != inf
+
     @property
     def is_held(self) -> bool:
         """Whether the flow is open, and the backend server has shown that it holds it.
--- a/packages/flows/src/persimmonreach/flows/_flow_table.py
+++ b/packages/flows/src/persimmonreach/flows/_flow_table.py
@@ -89,7 +89,7 @@
         if key not in self._flows:
             flow = self.add(key, None, now)
             flow.is_open = True
-            flow.is_confirmed = True
+            flow.confirmed_at = now
 
     def remove(self, key: FlowKey) -> FlowRecord | None:
         """Remove a flow and return it; None if it is not in the table."""
@@ -126,7 +126,7 @@
         if flow.initial_sequence is None:
             # Without a SYN-ACK, the flow was open before the agent started.
             flow.is_open = True
-        flow.is_confirmed = True
+        flow.confirmed_at = min(flow.confirmed_at, now)
         flow.backend.observe(header, now)
         self._closed_count += flow.is_closed - was_closed
         if header.payload_size or flow.is_closed:
--- a/packages/forwarding/src/persimmonreach/forwarding/_agent.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_agent.py
@@ -248,9 +248,7 @@
             return (count,) if verdict.is_accepted else (count, *self._reject(event))
         self._liveness.record_activity(now)
         self._has_backend_left = False
-        actions: tuple[Action, ...] = ()
-        if verdict.is_restart:
-            actions = self._path.reset_callers(now)
+        actions = self._path.reset_lost_callers(verdict.flows_lost_before, now)
         state = AgentState.STOPPING if self._is_stopping else event.state
         self._admission_controller.set_state(state, now + event.cold_remaining_s)
         self._admission_controller.set_slots(event.slots)
@@ -286,7 +284,7 @@
                 ),
                 *self._set_state(AgentState.STARTING, now),
             )
-        return self._path.on_probe_unchanged(now)
+        return self._path.on_tick(now)
 
     def _set_state(self, state: AgentState, now: float) -> tuple[Action, ...]:
         self._admission_controller.set_state(state, self._incarnations.cold_until)
--- a/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
@@ -222,10 +222,6 @@
         self._flows.observe_backend_packet(header.key, header, now)
         return (SendToCaller(packet), *actions)
 
-    def on_probe_unchanged(self, now: float) -> tuple[Action, ...]:
-        """Resolve pending queries after a probe that showed no change."""
-        return self.on_tick(now)
-
     def on_tick(self, now: float) -> tuple[Action, ...]:
         """Resolve pending queries that are due."""
         return self._query_responder.resolve_pending(now)
@@ -270,6 +266,21 @@
         responses = self._query_responder.resolve_all_missing()
         return (*responses, *self._resets.reset_callers(now))
 
+    def reset_lost_callers(self, lost_before: float, now: float) -> tuple[Action, ...]:
+        """Reset the flows that ended with a former incarnation of the backend server.
+
+        The backend server decides on flows that it may have opened since.
+
+        Parameters
+        ----------
+        lost_before
+            Flows that the backend server opened before this time are lost.
+        now
+            Current time, in seconds.
+
+        """
+        return self._resets.reset_callers(now, lost_before)
+
     def _on_rejected_packet(self, key: FlowKey, packet: bytes) -> tuple[Action, ...]:
         """Process the reset of a flow that the backend server does not hold.
 
@@ -311,7 +322,10 @@
         acknowledges this sequence number.
         """
         flow = self._flows.find(header.key) or self._flows.add(header.key, None, now)
-        flow.initial_sequence = header.sequence
+        if flow.initial_sequence != header.sequence:
+            # A restarted backend server opens the flow again with another number.
+            flow.initial_sequence = header.sequence
+            flow.confirmed_at = now
         if flow.entry_endpoint is None:
             return ()
         message = FlowAccepted(header.key, self._agent, header.sequence)
--- a/packages/forwarding/src/persimmonreach/forwarding/_incarnations.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_incarnations.py
@@ -17,6 +17,8 @@
 # time: five retransmissions of the SYN-ACK after 1, 3, 7, 15 and 31 s, and 32 s more.
 _MAX_HANDSHAKE_S: Final = 63
 _MS_PER_S: Final = 1000
+# A clock that is adjusted gradually drifts by less than this between two reports.
+_MAX_CLOCK_DRIFT_S: Final = 0.05
 
 
 class _BackendIncarnation(NamedTuple):
@@ -34,14 +36,15 @@
         delayed until their sender had been replaced.
     is_newest
         Whether the report is accepted and newer than all others of its incarnation.
-    is_restart
-        Whether the report shows that the incarnation before has ended.
+    flows_lost_before
+        Flows that the backend server was last seen to open before this time ended with
+        its former incarnation, in seconds; minus infinity if there are none.
 
     """
 
     is_accepted: bool
     is_newest: bool = False
-    is_restart: bool = False
+    flows_lost_before: float = -inf
 
 
 _REJECTED: Final = ReportVerdict(is_accepted=False)
@@ -74,6 +77,8 @@
         self._current: _BackendIncarnation | None = None
         self._has_current_ended = False
         self._last_report_at = -inf
+        # Wall-clock time of the latest report minus the time of the agent.
+        self._clock_offset_s = inf
         # Latest sequence number of each incarnation that has been current; infinite if
         # the incarnation has ended.
         self._last_sequences: dict[_BackendIncarnation, float] = {}
@@ -159,12 +164,17 @@
             return ReportVerdict(is_accepted=True, is_newest=True)
         if is_repeated or not self._may_run_now(incarnation, now):
             return _REJECTED
-        is_restart = self._has_ended_before(report, now)
+        started_at = self._start_after_current(report, now)
+        has_ended = self._has_current_ended or started_at is not None
+        is_restart = self._current is not None and has_ended
         if self._current is not None and is_restart:
             self._last_sequences[self._current] = inf
         self._accept(incarnation, report, now)
         self._update_completeness(report, now, is_restart=is_restart)
-        return ReportVerdict(is_accepted=True, is_newest=True, is_restart=is_restart)
+        lost_before = -inf if started_at is None else started_at
+        return ReportVerdict(
+            is_accepted=True, is_newest=True, flows_lost_before=lost_before
+        )
 
     def _accept(
         self, incarnation: _BackendIncarnation, report: BackendStatusReported, now: float
@@ -174,6 +184,8 @@
         self._current = incarnation
         self._has_current_ended = False
         self._last_report_at = now
+        if report.age_s is not None:
+            self._clock_offset_s = _clock_offset_s(report, report.age_s, now)
         self._last_sequences[incarnation] = report.sequence
         self._update_admission(report, now)
         self._cold_until = now + report.cold_remaining_s
@@ -189,19 +201,28 @@
             return True
         return now - self._last_report_at >= STATUS_TIMEOUT_S
 
-    def _has_ended_before(self, report: BackendStatusReported, now: float) -> bool:
-        """Whether the current incarnation has certainly ended before the sender started.
+    def _start_after_current(
+        self, report: BackendStatusReported, now: float
+    ) -> float | None:
+        """Return when the sender started, if that ended the current incarnation.
 
-        It has not if it reported since then: one of the two reports was delayed.
+        The result is None if this is not certain: if the current incarnation reported
+        later, so that one of both reports was delayed, or if the clock has been set
+        since. It is also None if the current incarnation is known to have ended, since
+        its flows have been reset then.
         """
-        if self._current is None:
-            return False
-        if self._has_current_ended:
-            return True
+        if self._current is None or self._has_current_ended:
+            return None
         current_started_at_ms = self._current.started_at_ms
         if not current_started_at_ms or report.started_at_ms <= current_started_at_ms:
-            return False
-        return report.age_s is None or now - report.age_s >= self._last_report_at
+            return None
+        if report.age_s is None:
+            return self._last_report_at
+        clock_offset_s = _clock_offset_s(report, report.age_s, now)
+        if abs(clock_offset_s - self._clock_offset_s) > _MAX_CLOCK_DRIFT_S:
+            return None
+        started_at = now - report.age_s
+        return started_at if started_at >= self._last_report_at else None
 
     def _update_completeness(
         self, report: BackendStatusReported, now: float, *, is_restart: bool
@@ -226,3 +247,7 @@
         age_s = min(report.age_s, now - self._not_running_at)
         wait_s = max(0, MIN_BACKEND_AGE_S - age_s)
         self._admits_from = min(self._admits_from, now + wait_s)
+
+
+def _clock_offset_s(report: BackendStatusReported, age_s: float, now: float) -> float:
+    return report.started_at_ms / _MS_PER_S + age_s - now
--- a/packages/forwarding/src/persimmonreach/forwarding/_resets.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_resets.py
@@ -1,6 +1,7 @@
 """Resets of the flows of a backend server toward both ends."""
 
 from collections.abc import Iterable
+from math import inf
 
 from persimmonreach.core import (
     Action,
@@ -42,14 +43,26 @@
         resets = self._build_backend_resets(self._flows.keys)
         return (*resets, *self.reset_callers(now))
 
-    def reset_callers(self, now: float) -> tuple[Action, ...]:
-        """Reset all flows toward callers, and remove them.
+    def reset_callers(self, now: float, lost_before: float = inf) -> tuple[Action, ...]:
+        """Reset the flows that are lost toward callers, and remove them.
 
         Flows without a completed handshake are refused, so that their entry
         instances can place them elsewhere. Flows that the backend server has not
         been seen to hold may be open elsewhere, so their callers are not reset.
+
+        Parameters
+        ----------
+        now
+            Current time, in seconds.
+        lost_before
+            Flows that the backend server opened before this time are lost; infinite if
+            it holds no flows any more.
+
         """
-        removed = {key: self._flows.remove(key) for key in self._flows.keys}
+        lost_keys = [
+            key for key, flow in self._flows.items() if _is_lost(flow, lost_before)
+        ]
+        removed = {key: self._flows.remove(key) for key in lost_keys}
         lost = {
             key: flow
             for key, flow in removed.items()
@@ -109,3 +122,7 @@
             for key in keys
             if (flow := removed_flow or self._flows.find(key)) is not None
         )
+
+
+def _is_lost(flow: FlowRecord, lost_before: float) -> bool:
+    return lost_before == inf or flow.confirmed_at < lost_before
--- a/packages/proof/src/persimmonreach/proof/simulation/_processes.py
+++ b/packages/proof/src/persimmonreach/proof/simulation/_processes.py
@@ -252,15 +252,29 @@
         """Address of the process."""
         return self.registration.endpoint
 
-    def start_backend(self, cold_s: float = 0) -> None:
-        """Start the backend server, cold for ``cold_s``, and its periodic reports."""
+    def start_backend(self, cold_s: float = 0, first_report_s: float = 0) -> None:
+        """Start the backend server and its periodic reports.
+
+        Parameters
+        ----------
+        cold_s
+            Seconds for which the backend server is cold.
+        first_report_s
+            Seconds until the first report; it may get flows before.
+
+        """
         self._backend_start_count += 1
         self._report_sequence = 0
         self._backend_started_at = self._scheduler.now
         agent = self.registration.agent
         self.backend.start(f'{agent}-run-{self._backend_start_count}')
         self.cold_until = self._scheduler.now + cold_s
-        self._report_periodically(self._backend_start_count)
+        if first_report_s:
+            self._scheduler.call_later(
+                first_report_s, self._report_periodically, self._backend_start_count
+            )
+        else:
+            self._report_periodically(self._backend_start_count)
 
     def report_backend_status(self) -> None:
         """Report the status of the backend server to the agent."""
--- a/packages/proof/tests/test_simulation.py
+++ b/packages/proof/tests/test_simulation.py
@@ -127,6 +127,27 @@
     assert {flow.state for flow in flows} == {'open'}
 
 
+@pytest.mark.parametrize('downtime_s', [0.01, 0.1])
+def test_flows_opened_before_the_first_report_of_a_restarted_server_survive(
+    deployment: Deployment, downtime_s: float
+) -> None:
+    """Guards against a first report that resets the flows which its sender has opened.
+
+    They counted as flows of the former process of the backend server.
+    """
+    agent = deployment.agents['a1']
+    deployment.open_flows(FLOW_COUNT, think_time_s=0.2)
+    agent.backend.crash()
+    deployment.run_for(downtime_s)
+    agent.start_backend(first_report_s=0.77)
+    flows = deployment.open_flows(2 * FLOW_COUNT, think_time_s=0.1)
+    held = [flow for flow in flows if deployment.find_holder(flow) is agent]
+    deployment.run_for(2)
+    assert held
+    assert not deployment.find_wrongly_reset(flows)
+    assert {flow.state for flow in held} == {'open'}
+
+
 def leave_one_after_the_other(deployment: Deployment, *names: str) -> None:
     """Stop entry instances for good, as planned work does."""
     for name in names:
