Reject a call to leave of an earlier process of a backend server

Cause: the agent compared the id of the sender only and ignored the body, which names its start time. It announced that the backend server had left.

Change: a call with another start time gets the status 409. A call without one is followed if the current process has reported that it drains; otherwise the agent probes the backend server. A malformed body gets 400.

--- a/packages/forwarding/src/persimmonreach/forwarding/_agent.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_agent.py
@@ -30,7 +30,6 @@
     BackendProbed,
     BackendStatusReported,
     ProbeBackend,
-    ReportRejected,
     StopRequested,
 )
 from persimmonreach.forwarding._identity import (
@@ -188,8 +187,8 @@
                 return self._on_backend_status(event, now)
             case BackendProbed(is_up):
                 return self._on_probe_result(is_up, now)
-            case BackendLeft(backend):
-                return self._on_backend_left(backend, now)
+            case BackendLeft():
+                return self._on_backend_left(event, now)
             case EntriesDiscovered():
                 return self._announcer.handle(event, now)
             case BackendFlowsListed(keys):
@@ -204,10 +203,18 @@
             case _:
                 return (Count('agent_unknown_events'),)
 
-    def _on_backend_left(self, backend: str, now: float) -> tuple[Action, ...]:
-        if not self._incarnations.is_current(backend):
-            return (Count('reports_of_former_runs'),)
+    def _on_backend_left(self, left: BackendLeft, now: float) -> tuple[Action, ...]:
+        """End the flows of the backend server, if the call is from its current process.
+
+        A call without start time may be from an earlier process with the same id, unless
+        the current one has reported that it drains. A probe decides then.
+        """
+        if not self._incarnations.is_current(left.backend, left.started_at_ms):
+            return self._incarnations.reject(left.backend)
         self._has_backend_left = True
+        if not (left.started_at_ms or self.is_draining):
+            self._liveness.expect_response(0, now)
+            return ()
         return self._set_state(AgentState.LEFT, now)
 
     def _on_message(
@@ -244,8 +251,9 @@
     ) -> tuple[Action, ...]:
         verdict = self._incarnations.observe(event, now)
         if not verdict.is_newest:
-            count = Count('reports_of_former_runs')
-            return (count,) if verdict.is_accepted else (count, *self._reject(event))
+            if verdict.is_accepted:
+                return (Count('reports_of_former_runs'),)
+            return self._incarnations.reject(event.backend)
         self._liveness.record_activity(now)
         self._has_backend_left = False
         actions = self._path.reset_lost_callers(verdict.flows_lost_before, now)
@@ -254,15 +262,6 @@
         self._admission_controller.set_slots(event.slots)
         return (*actions, *self._announce(event.slots, now))
 
-    def _reject(self, report: BackendStatusReported) -> tuple[Action, ...]:
-        current_backend = self._incarnations.backend
-        return (
-            ReportRejected(report.backend),
-            LogStateChange(
-                'report_rejected', report.backend, f'replaced by {current_backend}'
-            ),
-        )
-
     def _on_probe_result(self, is_up: bool | None, now: float) -> tuple[Action, ...]:
         was_down = self._liveness.is_down
         went_down = self._liveness.record_probe_result(is_up, now)
--- a/packages/forwarding/src/persimmonreach/forwarding/_events.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_events.py
@@ -69,9 +69,19 @@
 
 
 class BackendLeft(NamedTuple):
-    """Event: the backend server announced that it is shutting down."""
+    """Event: the backend server announced that it is shutting down.
+
+    Attributes
+    ----------
+    backend
+        Id of the backend server.
+    started_at_ms
+        Its start time as in ``BackendStatusReported``; 0 if it is not known.
+
+    """
 
     backend: str
+    started_at_ms: int = 0
 
 
 class ProbeBackend(NamedTuple):
--- a/packages/forwarding/src/persimmonreach/forwarding/_incarnations.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_incarnations.py
@@ -3,7 +3,8 @@
 from math import inf
 from typing import Final, NamedTuple
 
-from persimmonreach.forwarding._events import BackendStatusReported
+from persimmonreach.core import Action, Count, LogStateChange
+from persimmonreach.forwarding._events import BackendStatusReported, ReportRejected
 from persimmonreach.forwarding._liveness import STATUS_TIMEOUT_S
 
 # No agent passes new flows to a backend server that started more recently. A process of
@@ -127,9 +128,16 @@
             self._first_sign_at = now
             self._admits_from = now + MIN_BACKEND_AGE_S
 
-    def is_current(self, backend: str) -> bool:
-        """Whether the current incarnation belongs to this backend server."""
-        return self._current is not None and self._current.backend == backend
+    def is_current(self, backend: str, started_at_ms: int) -> bool:
+        """Whether the current incarnation has this id and start time.
+
+        Start times that are not known, 0, do not differ from others.
+        """
+        if self._current is None or self._current.backend != backend:
+            return False
+        return started_at_ms in {0, self._current.started_at_ms} or not (
+            self._current.started_at_ms
+        )
 
     def record_flows_listed(self, now: float) -> None:
         """Record that the backend server listed its established flows.
@@ -153,6 +161,14 @@
         self._not_running_at = now
         self._first_sign_at = inf
 
+    def reject(self, backend: str) -> tuple[Action, ...]:
+        """Return the actions for a report whose sender does not run any more."""
+        return (
+            Count('reports_of_former_runs'),
+            ReportRejected(backend),
+            LogStateChange('report_rejected', backend, f'replaced by {self.backend}'),
+        )
+
     def observe(self, report: BackendStatusReported, now: float) -> ReportVerdict:
         """Record a status report and return how it is to be handled."""
         incarnation = _BackendIncarnation(report.backend, report.started_at_ms)
--- a/packages/platform/src/persimmonreach/platform/_bodies.py
+++ b/packages/platform/src/persimmonreach/platform/_bodies.py
@@ -22,7 +22,7 @@
     Quantity,
 )
 from persimmonreach.discovery import AgentState
-from persimmonreach.forwarding import BackendStatusReported
+from persimmonreach.forwarding import BackendLeft, BackendStatusReported
 from persimmonreach.rules import (
     Route,
     RulesDelta,
@@ -60,6 +60,10 @@
 )
 
 
+class _LeaveBody(TypedDict):
+    born: NotRequired[Count]
+
+
 class _WeightedServiceBody(TypedDict):
     service: Name
     weight: Quantity
@@ -89,6 +93,7 @@
 
 
 _REPORT_DECODER: Final = JsonDecoder[_ReportBody](_ReportBody)
+_LEAVE_DECODER: Final = JsonDecoder[_LeaveBody](_LeaveBody)
 _CONFIGURATION_DECODER: Final = JsonDecoder[_ConfigurationBody](_ConfigurationBody)
 
 
@@ -171,6 +176,31 @@
     )
 
 
+def decode_leave(backend: str, body: bytes) -> BackendLeft:
+    """Decode the call with which a backend server leaves.
+
+    Parameters
+    ----------
+    backend
+        Id of the backend server.
+    body
+        JSON body of the call; may be empty.
+
+    Raises
+    ------
+    BodyError
+        If the body is not empty and not JSON, or if its start time has the wrong type.
+
+    """
+    if not body:
+        return BackendLeft(backend)
+    try:
+        fields = _LEAVE_DECODER.decode(body)
+    except ContentError as error:
+        raise BodyError(f'malformed call to leave of {backend}: {error}') from error
+    return BackendLeft(backend, fields.get('born', 0))
+
+
 def _find_rules(
     rows: Iterable[KeyValue],
 ) -> tuple[TrafficRules | None, tuple[str, ...]]:
--- a/packages/platform/src/persimmonreach/platform/_endpoints.py
+++ b/packages/platform/src/persimmonreach/platform/_endpoints.py
@@ -7,8 +7,8 @@
 from typing import Any, Final
 
 from persimmonreach.core import Action, Count, Endpoint, LogStateChange
-from persimmonreach.forwarding import BackendLeft, BackendStatusReported
-from persimmonreach.platform._bodies import BodyError, decode_report
+from persimmonreach.forwarding import BackendStatusReported
+from persimmonreach.platform._bodies import BodyError, decode_leave, decode_report
 from persimmonreach.runtime.http_server import HttpRequest, HttpResponse, HttpServer
 
 _HEARTBEAT_PATH: Final = '/Instances.Heartbeat/'
@@ -89,7 +89,7 @@
         if request.method != HTTPMethod.POST:
             return HTTPStatus.NOT_FOUND
         if path.startswith(_LEAVE_PATH):
-            left = BackendLeft(path.removeprefix(_LEAVE_PATH))
+            left = decode_leave(path.removeprefix(_LEAVE_PATH), request.body)
             return _STATUS_BY_ACCEPTANCE[self._submit(left)]
         if not path.startswith(_HEARTBEAT_PATH):
             return HTTPStatus.NOT_FOUND
--- a/packages/platform/tests/test_endpoints.py
+++ b/packages/platform/tests/test_endpoints.py
@@ -70,6 +70,18 @@
     assert harness.events == [BackendLeft('i-1')]
 
 
+def test_a_leave_request_names_the_start_of_its_sender(harness: Harness) -> None:
+    """An earlier process with the same id may have sent it."""
+    assert harness.post('/Instances.Leave/i-1', b'{"born": 7}') == 200
+    assert harness.events == [BackendLeft('i-1', 7)]
+
+
+@pytest.mark.parametrize('body', [b'nonsense', b'{"born": "x"}', b'[]'])
+def test_a_malformed_leave_request_is_refused(harness: Harness, body: bytes) -> None:
+    assert harness.post('/Instances.Leave/i-1', body) == 400
+    assert harness.events == []
+
+
 @pytest.mark.parametrize(
     'body',
     [b'', b'{}', b'nonsense', json.dumps({**BODY, 'service': 'other'}).encode()],
