Play delayed reports and paused servers, and split the search

The simulation had no reports that arrive late, and its reports had no start times; the soak paused no backend server and restarted no agent soon after its backend server.

Change: a simulated partition holds up the reports of a backend server. The soak pauses backend servers by SIGSTOP, and stops the agent of a new one after 0.05 to 1.5 s. The outcomes of a search and its packet queries are modules of their own; no behaviour changed there.

--- a/packages/lookup/src/persimmonreach/lookup/_hints.py
+++ b/packages/lookup/src/persimmonreach/lookup/_hints.py
@@ -1,4 +1,4 @@
-"""Use of the holder that a directory returns."""
+"""Use of the holder that a directory returns, and whether responses are missing."""
 
 from persimmonreach.core import AgentId
 from persimmonreach.discovery import AgentRecord, AgentTable
@@ -16,7 +16,16 @@
     return list(eligible_records((record,), search, now))
 
 
-def is_hinted_agent_silent(agent_table: AgentTable, search: Search) -> bool:
+def are_responses_missing(agent_table: AgentTable, search: Search) -> bool:
+    """Whether an agent that may hold the flow has not responded to the search."""
+    return (
+        bool(search.pending)
+        or not agent_table.is_loaded
+        or _is_hinted_agent_silent(agent_table, search)
+    )
+
+
+def _is_hinted_agent_silent(agent_table: AgentTable, search: Search) -> bool:
     """Whether the agent that a directory returned is registered, but silent.
 
     Its process may only be paused, and the flow goes on after that.
--- a/packages/lookup/src/persimmonreach/lookup/_search.py
+++ b/packages/lookup/src/persimmonreach/lookup/_search.py
@@ -1,6 +1,6 @@
 """Search for the agent that holds a flow."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from typing import Any, Final
 
 from persimmonreach.core import (
@@ -11,7 +11,6 @@
     EntryId,
     Event,
     FlowKey,
-    LogDecision,
     Received,
     Send,
     StateMachine,
@@ -19,13 +18,20 @@
 )
 from persimmonreach.discovery import AgentRecord, AgentTable, RegisteredEntry
 from persimmonreach.lookup._directories import FlowDirectory, directories_of
-from persimmonreach.lookup._events import (
-    EntriesChanged,
-    FindHolder,
-    HolderFound,
-    HolderNotFound,
+from persimmonreach.lookup._events import EntriesChanged, FindHolder, HolderFound
+from persimmonreach.lookup._hints import are_responses_missing, resolve_hint
+from persimmonreach.lookup._outcomes import (
+    report_found,
+    report_missing,
+    report_unfinished,
+)
+from persimmonreach.lookup._packet_queries import (
+    forward_packet,
+    pop_indeterminate,
+    query_by_packet,
+    select_likely,
+    unconfirmed_records,
 )
-from persimmonreach.lookup._hints import is_hinted_agent_silent, resolve_hint
 from persimmonreach.lookup._queries import KeyQueries
 from persimmonreach.lookup._state import (
     NegativeCache,
@@ -41,15 +47,10 @@
     FlowUnconfirmed,
     HolderQuery,
     HolderResponse,
-    PacketQuery,
 )
-from persimmonreach.placement import rank_near_agents_first
 
 # Round trip between availability zones, with jitter.
 DIRECTORY_TIMEOUT_S: Final = 0.02
-# Agents that get a packet query if no directory returns the holder: placement
-# prefers this number of agents in the availability zone of the entry instance.
-LIKELY_AGENT_COUNT: Final = 2
 # Round trip between availability zones with jitter, and the time in which a backend
 # server bounces a packet of a flow that it does not hold.
 PACKET_QUERY_TIMEOUT_S: Final = 0.025
@@ -60,9 +61,6 @@
 # between the last retransmissions of a caller, because the next packet, which would
 # start another search, may arrive only after that time.
 SEARCH_TIMEOUT_S: Final = 2.0
-# Limit of the bytes that one search has in flight in packet queries to agents with an
-# indeterminate response; a link of 5 Mbit/s transmits them in 16 ms.
-MAX_PACKET_QUERY_BYTES: Final = 10_000
 
 
 class HolderSearch(StateMachine):
@@ -126,15 +124,14 @@
         match message:
             case FlowFound():
                 return self._on_flow_found(message, now)
-            case FlowNotFound(key, agent):
+            case FlowNotFound(key, agent) | FlowUnconfirmed(key, agent):
                 search = self._searches.get(key)
                 if search is None:
                     return ()
+                if isinstance(message, FlowUnconfirmed):
+                    return self._on_unconfirmed(search, agent, now)
                 search.record_non_holder(agent)
                 return self._continue(search, now)
-            case FlowUnconfirmed(key, agent):
-                search = self._searches.get(key)
-                return () if search is None else self._on_unconfirmed(search, agent, now)
             case FlowsResponse():
                 return self._on_flows_response(message, now)
             case HolderResponse():
@@ -147,8 +144,7 @@
         if search is not None:
             return self._on_further_packet(search, event, now)
         search = Search(event, now)
-        for agent in self._negative_cache.find(event.key, now):
-            search.record_non_holder(agent)
+        self._negative_cache.apply_to(search, now)
         self._searches[event.key] = search
         return (Count('searches_started'), *self._query_directories(search, now))
 
@@ -165,15 +161,10 @@
                 search.queued_packets.append(event.packet)
             search.record_non_holder(event.not_held_by)
             return self._continue(search, now)
-        candidates = self._unconfirmed_candidates(search, now)
+        candidates = unconfirmed_records(self._agent_table, search, now)
         if not candidates:
             search.queued_packets.append(event.packet)
-            return ()
-        query = PacketQuery(event.packet)
-        max_candidates = MAX_PACKET_QUERY_BYTES // len(event.packet)
-        return tuple(
-            Send(record.endpoint, query) for record in candidates[:max_candidates]
-        )
+        return forward_packet(event.packet, candidates)
 
     def _query_directories(self, search: Search, now: float) -> tuple[Action, ...]:
         key = search.key
@@ -209,14 +200,13 @@
     ) -> tuple[Action, ...]:
         search.phase = Phase.HINT
         self._deadlines.schedule(search.key, now + PACKET_QUERY_TIMEOUT_S)
-        return (Count('searches_hinted'), *self._send_packet_queries(search, records))
+        return (Count('searches_hinted'), *query_by_packet(search, records))
 
     def _on_flow_found(self, found: FlowFound, now: float) -> tuple[Action, ...]:
-        self._deadlines.cancel(found.key)
-        search = self._searches.pop(found.key, None)
+        search = self._searches.get(found.key)
         if search is None:
             return (HolderFound(found.key, found.agent, ()),)
-        return _report_holder(search, found.agent, now)
+        return self._end_with_holder(search, found.agent, now)
 
     def _on_unconfirmed(
         self, search: Search, agent: AgentId, now: float
@@ -236,7 +226,7 @@
     ) -> tuple[Action, ...]:
         self._searches.pop(search.key)
         self._deadlines.cancel(search.key)
-        return _report_holder(search, agent, now)
+        return report_found(search, agent, now)
 
     def _on_flows_response(
         self, response: FlowsResponse, now: float
@@ -284,13 +274,9 @@
             return self._retry_unresponsive(search, now)
         if search.phase < Phase.LIKELY:
             search.phase = Phase.LIKELY
-            records = self._agent_table.of_service(search.service).values()
-            candidates = eligible_records(records, search, now)
-            ranked_records = rank_near_agents_first(
-                search.key, candidates, self._agent_table.zone
-            )
             self._deadlines.schedule(search.key, now + PACKET_QUERY_TIMEOUT_S)
-            sends = self._send_packet_queries(search, ranked_records[:LIKELY_AGENT_COUNT])
+            records = select_likely(self._agent_table, search, now)
+            sends = query_by_packet(search, records)
             return sends or self._advance(search, now)
         if search.phase is Phase.LIKELY:
             search.phase = Phase.GATHERING
@@ -315,16 +301,6 @@
         self._deadlines.schedule(search.key, now + delay_s)
         return True
 
-    def _send_packet_queries(
-        self, search: Search, records: Iterable[AgentRecord]
-    ) -> tuple[Action, ...]:
-        query = PacketQuery(search.first_packet)
-        sends = []
-        for record in records:
-            search.record_packet_query(record.agent)
-            sends.append(Send(record.endpoint, query))
-        return tuple(sends)
-
     def _send_key_queries(self, now: float) -> tuple[Action, ...]:
         """Query the agents not queried yet, each for all queued flows at once."""
         actions: list[Action] = []
@@ -344,16 +320,10 @@
         return (*actions, *self._queries.send())
 
     def _query_indeterminate(self, search: Search, now: float) -> tuple[Action, ...]:
-        candidates = (
-            self._agent_table.find(agent)
-            for agent in search.pop_indeterminate(
-                MAX_PACKET_QUERY_BYTES // len(search.first_packet)
-            )
-        )
-        records = [record for record in candidates if record is not None]
+        records = pop_indeterminate(self._agent_table, search)
         if records:
             self._deadlines.schedule(search.key, now + KEY_QUERY_TIMEOUT_S)
-        return self._send_packet_queries(search, records)
+        return query_by_packet(search, records)
 
     def _conclude(self, search: Search, now: float) -> tuple[Action, ...]:
         """End a search without a holder, or pause it if responses are missing."""
@@ -364,12 +334,8 @@
             self._deadlines.cancel(key)
             self._queries.enqueue(key, len(self._agent_table), now)
             return ()
-        is_incomplete = (
-            bool(search.pending)
-            or not self._agent_table.is_loaded
-            or is_hinted_agent_silent(self._agent_table, search)
-        )
-        candidates = self._unconfirmed_candidates(search, now)
+        is_incomplete = are_responses_missing(self._agent_table, search)
+        candidates = unconfirmed_records(self._agent_table, search, now)
         if len(candidates) == 1 and not is_incomplete:
             # All other agents have denied the flow.
             return self._end_with_holder(search, candidates[0].agent, now)
@@ -378,32 +344,7 @@
             return ()
         self._searches.pop(key)
         self._deadlines.cancel(key)
-        inputs = search.decision_inputs(now)
         self._negative_cache.put(key, search.non_holders, now)
         if is_incomplete:
-            return (
-                Count('searches_unfinished'),
-                LogDecision('holder_not_found', key, 'dropped', inputs),
-            )
-        return (
-            HolderNotFound(key, search.latest_packet),
-            Count('searches_missing'),
-            LogDecision('holder_not_found', key, 'reset', inputs),
-        )
-
-    def _unconfirmed_candidates(self, search: Search, now: float) -> list[AgentRecord]:
-        """Return the agents whose backend server may hold the flow."""
-        records = map(self._agent_table.find, sorted(search.unconfirmed))
-        return [
-            record
-            for record in records
-            if record is not None and record.may_hold_flows(now)
-        ]
-
-
-def _report_holder(search: Search, agent: AgentId, now: float) -> tuple[Action, ...]:
-    return (
-        HolderFound(search.key, agent, search.undelivered_packets(agent)),
-        Count('searches_found'),
-        LogDecision('holder_found', search.key, agent, search.decision_inputs(now)),
-    )
+            return report_unfinished(search, now)
+        return report_missing(search, now)
--- a/packages/lookup/src/persimmonreach/lookup/_state.py
+++ b/packages/lookup/src/persimmonreach/lookup/_state.py
@@ -232,6 +232,11 @@
             return frozenset()
         return entry.agents
 
+    def apply_to(self, search: Search, now: float) -> None:
+        """Record the agents that are known not to hold the flow of a search."""
+        for agent in self.find(search.key, now):
+            search.record_non_holder(agent)
+
     def remove_expired(self, now: float) -> None:
         """Remove expired entries."""
         while self._entries:
--- a/packages/lookup/tests/test_directories.py
+++ b/packages/lookup/tests/test_directories.py
@@ -37,8 +37,8 @@
     PublishRound,
 )
 from persimmonreach.lookup._directories import REPUBLISH_INTERVAL_S, directories_of
+from persimmonreach.lookup._packet_queries import MAX_PACKET_QUERY_BYTES
 from persimmonreach.lookup._publisher import MAX_FLOWS_PER_ROUND
-from persimmonreach.lookup._search import MAX_PACKET_QUERY_BYTES
 
 KEY = b'flow-1'
 PACKET = b'packet 1' * 150
--- a/packages/proof/src/persimmonreach/proof/simulation/_deployment.py
+++ b/packages/proof/src/persimmonreach/proof/simulation/_deployment.py
@@ -154,8 +154,13 @@
         zone: str,
         service: str = SERVICE,
         cold_s: float = 0,
+        *,
+        is_partitioned: bool = False,
     ) -> SimulatedAgent:
-        """Add an agent with its backend server and start both."""
+        """Add an agent with its backend server and start both.
+
+        If they are partitioned, the reports of the backend server are held up.
+        """
         number = len(self.agents) + 1
         name = f'a{number}'
         registration = RegisteredAgent(name, service, zone, self._next_endpoint())
@@ -167,6 +172,8 @@
         self.agents[name] = process
         self.fabric.register_receiver(process.endpoint, process)
         self.start_process(process)
+        if is_partitioned:
+            process.hold_reports()
         process.start_backend(cold_s)
         return process
 
--- a/packages/proof/src/persimmonreach/proof/simulation/_processes.py
+++ b/packages/proof/src/persimmonreach/proof/simulation/_processes.py
@@ -243,6 +243,9 @@
         self.cold_until: float = 0
         self._report_sequence = 0
         self._backend_start_count = 0
+        self._held_start = 0
+        # Reports that have not arrived, and the time at which they were sent.
+        self._held_reports: list[tuple[BackendStatusReported, float]] = []
         self._backend_started_at: float = 0
         self._network.assign_zone(registration.endpoint.host, registration.zone)
         backend.send = self._receive_backend_packet
@@ -282,18 +285,32 @@
         is_draining = self.backend.is_draining
         state = AgentState.DRAINING if is_draining else AgentState.READY
         cold_s = max(0, self.cold_until - self._scheduler.now)
-        backend_name = self.backend.name
-        self.handle(
-            BackendStatusReported(
-                backend_name,
-                _to_unix_ms(self._backend_started_at),
-                self._report_sequence,
-                state,
-                3,
-                cold_s,
-                self._scheduler.now - self._backend_started_at,
-            ),
+        report = BackendStatusReported(
+            self.backend.name,
+            _to_unix_ms(self._backend_started_at),
+            self._report_sequence,
+            state,
+            3,
+            cold_s,
+            self._scheduler.now - self._backend_started_at,
         )
+        if self._held_start == self._backend_start_count:
+            self._held_reports.append((report, self._scheduler.now))
+        else:
+            self.handle(report)
+
+    def hold_reports(self) -> None:
+        """Hold up the reports of the backend server that is started next."""
+        self._held_start = self._backend_start_count + 1
+
+    def release_reports(self) -> None:
+        """Let the reports arrive that were held up."""
+        held_reports = tuple(self._held_reports)
+        self._held_reports.clear()
+        for report, held_at in held_reports:
+            # The agent derives the age from the start time when the report arrives.
+            age_s = report.age_s + self._scheduler.now - held_at
+            self.handle(report._replace(age_s=age_s))
 
     def _report_periodically(self, backend_start: int) -> None:
         if backend_start == self._backend_start_count and self.backend.is_up:
--- a/packages/proof/tests/test_simulation.py
+++ b/packages/proof/tests/test_simulation.py
@@ -148,6 +148,32 @@
     assert {flow.state for flow in held} == {'open'}
 
 
+def test_delayed_reports_of_a_crashed_server_leave_its_successor_alone(
+    deployment: Deployment,
+) -> None:
+    """Guards against a delayed report that counts as one of a new backend server.
+
+    The flows of the successor were reset, and it went on getting new flows while it
+    drained.
+    """
+    agent = deployment.add_agent('a', is_partitioned=True)
+    deployment.run_for(3)
+    agent.backend.crash()
+    agent.start_backend()
+    deployment.run_for(1)
+    flows = deployment.open_flows(FLOW_COUNT, think_time_s=0.2)
+    deployment.run_for(3)
+    agent.release_reports()
+    deployment.run_for(1)
+    assert any(deployment.find_holder(flow) is agent for flow in flows)
+    assert {flow.state for flow in flows} == {'open'}
+    agent.backend.is_draining = True
+    deployment.run_for(1)
+    accepted_count = len(agent.backend.accept_times)
+    deployment.open_flows(FLOW_COUNT)
+    assert len(agent.backend.accept_times) == accepted_count
+
+
 def leave_one_after_the_other(deployment: Deployment, *names: str) -> None:
     """Stop entry instances for good, as planned work does."""
     for name in names:
--- a/packages/standins/src/persimmonreach/standins/_soak.py
+++ b/packages/standins/src/persimmonreach/standins/_soak.py
@@ -26,6 +26,8 @@
 # longer, so that they overlap.
 _FAULT_INTERVAL_S: Final = (0.2, 1.6)
 _PAUSE_DURATION_S: Final = (0.1, 2.5)
+# Time from the start of a backend server to the stop of its agent.
+_STOP_DELAY_S: Final = (0.05, 1.5)
 # Time without faults at the end, within which all requests are to be served again.
 _RECOVERY_S: Final = 6.0
 _HTTP: Final = 'http'
@@ -130,6 +132,35 @@
         return server.name
 
 
+@final
+class ServerPaused(Fault):
+    """Pauses a backend server for a random time by SIGSTOP.
+
+    The operating system accepts connections and packets for it all the while.
+    """
+
+    group = 'backend'
+
+    def inject(self, platform: Platform, deployment: Deployment, rng: Random) -> str:
+        """Pause a backend server."""
+        return _pause(rng.choice(platform.servers).backend, rng)
+
+
+@final
+class AgentOfNewServerStopped(Fault):
+    """Starts a backend server and stops its agent after a random time."""
+
+    group = 'agent'
+
+    def inject(self, platform: Platform, deployment: Deployment, rng: Random) -> str:
+        """Start a backend server, stop its agent, and start a new agent."""
+        zone = rng.choice(deployment.zones)
+        server = platform.add_server(deployment.long_service, zone, ServerState.WARM)
+        gevent.sleep(rng.uniform(*_STOP_DELAY_S))
+        platform.restart_agent(server)
+        return server.name
+
+
 FAULTS: Final = (
     EntryKilled(),
     AgentKilled(),
@@ -138,6 +169,8 @@
     ProcessPaused(),
     StorePaused(),
     ServerDrained(),
+    ServerPaused(),
+    AgentOfNewServerStopped(),
 )
 
 
