Answer all entry instances that search for one flow

Cause: a second packet query for a flow replaced the sender of the first.

Change: an agent keeps the senders of all pending queries for a flow. A packet of the backend server answers all of them, a bounce the one whose packet it is.

--- a/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
@@ -287,10 +287,10 @@
         The reset is not sent to the caller, whose flow may be open elsewhere.
         """
         rejection_count = Count('packets_rejected')
-        negative_response = self._query_responder.resolve_denied(key, packet)
+        negative_responses = self._query_responder.resolve_denied(key, packet)
         flow = self._flows.remove(key)
-        if negative_response is not None:
-            return (rejection_count, negative_response)
+        if negative_responses:
+            return (rejection_count, *negative_responses)
         if flow is None or flow.entry_endpoint is None:
             return (rejection_count,)
         returned = PacketReturned(self._agent, packet)
@@ -306,13 +306,10 @@
         if header.is_syn:
             return (bounce_count, *self._on_bounced_syn(sender, header.key, now))
         self._flows.remove(header.key)
-        negative_response = self._query_responder.resolve_denied(
-            header.key, packet, sender
-        )
-        return (
-            bounce_count,
-            negative_response or Send(sender, PacketReturned(self._agent, packet)),
-        )
+        responses = self._query_responder.resolve_denied(header.key, packet, sender)
+        if not responses:
+            responses = (Send(sender, PacketReturned(self._agent, packet)),)
+        return (bounce_count, *responses)
 
     def _on_syn_ack(self, header: PacketHeader, now: float) -> tuple[Action, ...]:
         """Report the SYN-ACK of the backend server to the entry instance.
--- a/packages/forwarding/src/persimmonreach/forwarding/_holder_queries.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_holder_queries.py
@@ -137,10 +137,10 @@
 
     def resolve_held(self, key: FlowKey) -> tuple[Action, ...]:
         """Resolve the query of a flow after the backend server sent a packet of it."""
-        query = self._pending_queries.pop(key)
-        if query is None:
-            return ()
-        return (Send(query.sender, FlowFound(key, self._agent)),)
+        return tuple(
+            Send(sender, FlowFound(key, self._agent))
+            for sender in self._pending_queries.pop(key)
+        )
 
     def is_pending(self, key: FlowKey) -> bool:
         """Return whether a query waits for a sign that the flow is held or not."""
@@ -148,8 +148,8 @@
 
     def resolve_denied(
         self, key: FlowKey, packet: bytes, sender: Endpoint | None = None
-    ) -> Send | None:
-        """Return the negative response to a query whose packet was rejected, if any.
+    ) -> tuple[Send, ...]:
+        """Return the negative responses to the queries whose packet was rejected.
 
         The packet itself is returned after ``FlowUnconfirmed``, because the entry
         instance may have ended its search with this agent as the holder.
@@ -161,17 +161,17 @@
         packet
             Rejected packet.
         sender
-            Entry instance that sent the packet; None if it is not known, so that the
-            sender of the latest query gets the response.
+            Entry instance that sent the packet; None if it is not known, so that all
+            senders of queries get the response.
 
         """
-        query = self._pending_queries.pop(key)
-        if query is None:
-            return None
-        recipient = sender or query.sender
-        if query.is_unconfirmed_reported:
-            return Send(recipient, PacketReturned(self._agent, packet))
-        return Send(recipient, FlowNotFound(key, self._agent))
+        not_found = FlowNotFound(key, self._agent)
+        returned = PacketReturned(self._agent, packet)
+        senders = self._pending_queries.pop(key, sender)
+        return tuple(
+            Send(recipient, returned if is_told else not_found)
+            for recipient, is_told in senders.items()
+        )
 
     def resolve_all_missing(self) -> tuple[Send, ...]:
         """Resolve all pending queries after the backend server lost its flows."""
--- a/packages/forwarding/tests/test_silent_backend.py
+++ b/packages/forwarding/tests/test_silent_backend.py
@@ -16,6 +16,7 @@
     Endpoint,
     Incarnation,
     Received,
+    Send,
     SendToCaller,
     Tick,
 )
@@ -153,3 +154,18 @@
     actions = wait(forwarder, QUERIED_AT + 0.1, QUERIED_AT + 0.5)
     assert FlowsPublished('a1', (KEY,)) in messages_of(actions, FlowsPublished)
     assert is_reset_sent(forwarder.handle(BackendProbed(False), QUERIED_AT + 2))
+
+
+def test_all_entry_instances_that_search_for_a_flow_get_a_response() -> None:
+    """The second query replaced the sender of the first, which waited for its timeout."""
+    forwarder = make_successor()
+    other_entry = Endpoint('10.0.0.2', 7000)
+    receive(forwarder, PacketQuery(REQUEST), QUERIED_AT)
+    forwarder.handle(Received(other_entry, PacketQuery(REQUEST)), QUERIED_AT + 0.001)
+    actions = forwarder.handle(RESPONSE, QUERIED_AT + 0.01)
+    recipients = {
+        action.to
+        for action in actions
+        if isinstance(action, Send) and isinstance(action.message, FlowFound)
+    }
+    assert recipients == {ENTRY, other_entry}
