--- a/packages/lookup/tests/test_directories.py
+++ b/packages/lookup/tests/test_directories.py
@@ -28,6 +28,7 @@
     FlowsPublished,
     FlowsQuery,
     FlowsResponse,
+    FlowUnconfirmed,
     HolderFound,
     HolderNotFound,
     HolderQuery,
@@ -119,6 +120,31 @@
     assert HolderFound(KEY, 'a5', ()) in final_actions
 
 
+def test_unconfirmed_flow_is_routed_to_the_agent_that_a_directory_names(
+    search: HolderSearch,
+) -> None:
+    """A busy backend server responds late, and the search asked all other agents."""
+    start_search(search)
+    receive(search, HolderResponse(KEY, 'a5'))
+    final_actions = receive(search, FlowUnconfirmed(KEY, 'a5'))
+    assert HolderFound(KEY, 'a5', ()) in final_actions
+
+
+def test_unconfirmed_flow_that_no_directory_names_is_searched_for(
+    search: HolderSearch,
+) -> None:
+    """The agent beside a silent backend server was taken for the holder."""
+    start_search(search)
+    receive(search, HolderResponse(KEY, ''))
+    queries = sends_of(receive(search, HolderResponse(KEY, '')), PacketQuery)
+    actions: list[Action] = []
+    for send in queries:
+        actions.extend(receive(search, FlowUnconfirmed(KEY, f'a{send.to.port}')))
+    actions.extend(search.handle(Tick(), search.wake_at))
+    assert sends_of(actions, FlowsQuery)
+    assert not any(isinstance(action, HolderFound) for action in actions)
+
+
 @pytest.mark.parametrize(('hint', 'is_reset'), [('a-silent', False), ('', True)])
 def test_flow_of_a_silent_agent_is_not_given_up(hint: str, is_reset: bool) -> None:
     """An entry instance that started while an agent was paused had never heard it, took
