Keep resets of half-open flows from callers

Cause: copies of a SYN had reached several backend servers. An agent without a record of the flow delivered a packet of it, and the SYN-ACK that its backend server repeated counted as proof that it held the flow. So the reset with which the backend server rejects the packet reached the caller, whose flow was open elsewhere.

Change: a SYN-ACK does not confirm a flow, and one with a new sequence number marks the flow as half open.

--- a/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
+++ b/packages/forwarding/src/persimmonreach/forwarding/_backend_path.py
@@ -212,10 +212,10 @@
                 return self._on_rejected_packet(header.key, rejected_packet)
             if self._unconfirmed_flows.was_rejected(header.key, now):
                 return (Count('resets_repeated'),)
-        self._unconfirmed_flows.confirm(header.key)
         if header.flags & SYN:
             actions = self._on_syn_ack(header, now)
         else:
+            self._unconfirmed_flows.confirm(header.key)
             if self._flows.find(header.key) is None:
                 self._flows.add(header.key, None, now)
             actions = self._query_responder.resolve_held(header.key)
@@ -320,8 +320,10 @@
         """
         flow = self._flows.find(header.key) or self._flows.add(header.key, None, now)
         if flow.initial_sequence != header.sequence:
-            # A restarted backend server opens the flow again with another number.
+            # The flow is half open here, whatever packets were delivered before: the
+            # backend server has restarted, or the caller has opened the flow elsewhere.
             flow.initial_sequence = header.sequence
+            flow.is_open = False
             flow.confirmed_at = now
         if flow.entry_endpoint is None:
             return ()
